Serve a job end to end through the daemon

The decision core, the fiber scheduler over Asio, the HTTP server and the upstream client carry a job of 200 tasks from a caller to two upstreams and back.

--- /dev/null
+++ b/include/rattandock/adapters/http_message.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rattandock::adapters {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpRequest
+{
+    std::string method;
+    /// The target up to the question mark, still percent-encoded.
+    std::string path;
+    /// The target after the question mark.
+    std::string query;
+    HttpHeaders headers;
+    std::string body;
+
+    /// The first header of that name in any case, or an empty string.
+    const std::string &header(std::string_view name) const;
+};
+
+struct HttpResponse
+{
+    unsigned status = 200;
+    std::string body;
+    HttpHeaders headers;
+    std::string contentType = "application/json";
+};
+
+/// Decodes %XX. Bad escapes stay as they are.
+std::string percentDecode(std::string_view text);
+/// Encodes all but unreserved characters.
+std::string percentEncode(std::string_view text);
+
+} // namespace rattandock::adapters
--- /dev/null
+++ b/include/rattandock/adapters/http_server.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "rattandock/adapters/http_message.hpp"
+#include "rattandock/adapters/io_threads.hpp"
+#include "rattandock/base/result.hpp"
+#include "rattandock/base/time.hpp"
+
+namespace rattandock::adapters {
+
+/// Bounds that keep each connection's memory small.
+struct HttpServerLimits
+{
+    std::size_t maxConnections = 4096;
+    std::uint32_t maxHeaderBytes = 16U << 10U;
+    std::uint64_t maxBodyBytes = 4U << 20U;
+    /// From the first byte of a request to its last.
+    Duration requestTimeout = std::chrono::seconds{10};
+    Duration idleTimeout = std::chrono::seconds{60};
+};
+
+/// Serves one request; runs on a fiber of the connection and may suspend it.
+using HttpHandler = std::function<HttpResponse(const HttpRequest &request)>;
+
+/// Told of each request that was refused before its handler: `malformed`, `header-too-large`,
+/// `body-too-large`, `slow-sender`, `too-many-connections`. Called from any I/O thread.
+using BadRequestObserver = std::function<void(std::string_view reason)>;
+
+/// HTTP/1.1 server with keep-alive on all threads of an IoThreads.
+/// Thread safety: all methods may be called from any thread.
+class HttpServer
+{
+public:
+    /// Binds and accepts. Errors: those of bind and listen.
+    static IoResult<std::unique_ptr<HttpServer>>
+    listen(IoThreads &threads, const boost::asio::ip::tcp::endpoint &endpoint,
+           HttpServerLimits limits, HttpHandler handler, BadRequestObserver observer);
+
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+    /// Precondition: stop() has returned.
+    ~HttpServer();
+
+    /// The bound port, also when port 0 was asked for.
+    std::uint16_t port() const;
+
+    /// Accepts no more and closes idle connections; returns when the last request is answered.
+    void stop();
+
+private:
+    struct State;
+    explicit HttpServer(std::shared_ptr<State> state);
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace rattandock::adapters
--- /dev/null
+++ b/include/rattandock/adapters/settings.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+#include <vector>
+
+#include "rattandock/adapters/http_server.hpp"
+#include "rattandock/adapters/job_json.hpp"
+#include "rattandock/adapters/upstream_client.hpp"
+#include "rattandock/base/result.hpp"
+#include "rattandock/core/dispatcher_options.hpp"
+#include "rattandock/core/team_spec.hpp"
+#include "rattandock/core/upstream_spec.hpp"
+
+namespace rattandock::adapters {
+
+enum class LogLevel : std::uint8_t { Error, Warn, Info, Debug };
+
+struct UpstreamSettings
+{
+    core::UpstreamSpec spec;
+    boost::asio::ip::tcp::endpoint address;
+};
+
+/// The settings of `rattandockd`; docs/settings.md describes each key.
+struct Settings
+{
+    boost::asio::ip::tcp::endpoint callerAddress;
+    boost::asio::ip::tcp::endpoint operatorAddress;
+    std::size_t ioThreads = 2;
+    LogLevel logLevel = LogLevel::Info;
+    HttpServerLimits http;
+    JobLimits jobs;
+    UpstreamClientOptions upstreamClient;
+    core::DispatcherOptions dispatcher;
+    std::vector<UpstreamSettings> upstreams;
+    std::vector<core::TeamSpec> teams;
+};
+
+/// Reads settings in JSON with comments. Errors: every finding, each with the file and its JSON
+/// path, or the line of a syntax error.
+Checked<Settings> parseSettings(std::string_view text, const std::string &file);
+
+/// Reads the file and parses it.
+Checked<Settings> loadSettings(const std::string &file);
+
+} // namespace rattandock::adapters
--- /dev/null
+++ b/include/rattandock/core/action.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "rattandock/base/ids.hpp"
+#include "rattandock/base/time.hpp"
+#include "rattandock/core/job_outcome.hpp"
+#include "rattandock/core/peer_message.hpp"
+
+namespace rattandock::core {
+
+/// Send one request to an upstream. The driver sends it at most once, or reports NotStarted.
+struct StartTask
+{
+    AttemptId attempt;
+    JobId job;
+    TaskIndex task;
+    UpstreamId upstream;
+    Duration estimate{};
+    std::string payload;
+    /// The driver reports TimedOut if there is no reply by then.
+    TimePoint deadline;
+};
+
+/// Close the attempt's connection; its result is of no use any more. AttemptEnded still follows.
+struct StopTask
+{
+    AttemptId attempt;
+    UpstreamId upstream;
+};
+
+/// Give the one final answer of a caller's request.
+struct AnswerCaller
+{
+    CallerRequestId request;
+    JobId job;
+    JobOutcome outcome;
+};
+
+struct SendToPeer
+{
+    VmId peer;
+    PeerMessage message;
+};
+
+/// What kind of decision a Note tells of; each is one counter.
+enum class NoteKind : std::uint8_t {
+    JobAccepted,
+    JobJoined,
+    JobRefused,
+    JobEnded,
+    TaskPlaced,
+    TaskResent,
+    UpstreamSetAside,
+    UpstreamRestored,
+    UpstreamLeaving,
+    UnknownAttempt,
+    PeerMessageRefused,
+    HandoverSent,
+    HandoverTaken,
+    KeyRangeChanged,
+    ConfigurationInForce,
+};
+inline constexpr std::size_t noteKindCount = 15;
+
+std::string_view name(NoteKind kind);
+
+/// A decision to be counted by kind and reason, logged, and kept for `explain`.
+struct Note
+{
+    NoteKind kind{};
+    /// A stable name such as a refusal reason; a metric label.
+    std::string_view reason;
+    JobId job;
+    /// Free text for the log and for `explain`; never a metric label.
+    std::string detail;
+};
+
+/// The planned stop is done: every caller is answered and the records are handed over.
+struct Stopped
+{
+};
+
+using Action = std::variant<StartTask, StopTask, AnswerCaller, SendToPeer, Note, Stopped>;
+using Actions = std::vector<Action>;
+
+} // namespace rattandock::core
--- /dev/null
+++ b/include/rattandock/core/attempt_result.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "rattandock/core/reason.hpp"
+
+namespace rattandock::core {
+
+/// The upstream ran the task and returned its result.
+struct AttemptCompleted
+{
+    std::string body;
+};
+
+/// The task provably did not start, so it may be sent again.
+struct AttemptNotStarted
+{
+    NotStartedReason reason{};
+};
+
+/// The task started or may have started, and there is no result.
+struct AttemptFailed
+{
+    AttemptFailure reason{};
+};
+
+using AttemptResult = std::variant<AttemptCompleted, AttemptNotStarted, AttemptFailed>;
+
+} // namespace rattandock::core
--- /dev/null
+++ b/include/rattandock/core/dispatcher.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "rattandock/core/action.hpp"
+#include "rattandock/core/dispatcher_options.hpp"
+#include "rattandock/core/event.hpp"
+#include "rattandock/core/home_token.hpp"
+#include "rattandock/core/job_table.hpp"
+#include "rattandock/core/scheduler.hpp"
+
+namespace rattandock::core {
+
+/// Counts that a status page shows.
+struct DispatcherStatus
+{
+    std::size_t records = 0;
+    std::size_t queuedTasks = 0;
+    std::size_t runningTasks = 0;
+    bool draining = false;
+    ConfigurationVersion configuration;
+};
+
+/// What `GET /v1/jobs/ID` tells of a job.
+struct JobView
+{
+    JobId id;
+    std::size_t taskCount = 0;
+    std::size_t startedCount = 0;
+    std::size_t doneCount = 0;
+    std::optional<JobOutcome> outcome;
+};
+
+/// The decision core of one daemon: a deterministic state machine without I/O, clock or threads.
+///
+/// The driver calls handle() for each event in order from one thread, calls
+/// handle(TimerFired{}) when nextTimer() is due, and carries out the appended actions in order.
+/// Times must not go back. Thread safety: none.
+class Dispatcher
+{
+public:
+    Dispatcher(DispatcherOptions options, std::uint64_t seed);
+
+    /// Appends the actions that follow from the event.
+    void handle(const Event &event, TimePoint now, Actions &actions);
+
+    /// When handle(TimerFired{}) is due; nothing if no timer is set.
+    std::optional<TimePoint> nextTimer() const;
+
+    /// A token for job ids whose home is this incarnation. Precondition: issuesTokens().
+    HomeToken issueToken(TimePoint now) const { return m_tokens.issue(now); }
+    /// False while draining or while the record table is full.
+    bool issuesTokens() const { return !m_draining && !m_jobs.full(); }
+
+    DispatcherStatus status() const;
+    std::optional<JobView> view(const JobId &id) const;
+
+private:
+    struct Attempt
+    {
+        TaskRef task;
+        UpstreamId upstream;
+        bool wanted = true;
+    };
+
+    void on(const JobSubmitted &event, TimePoint now, Actions &actions);
+    void on(const JobCancelled &event, TimePoint now, Actions &actions);
+    void on(const CallerLeft &event, TimePoint now, Actions &actions);
+    void on(const AttemptEnded &event, TimePoint now, Actions &actions);
+    void on(const UpstreamSeen &event, TimePoint now, Actions &actions);
+    void on(const ConfigurationAccepted &event, TimePoint now, Actions &actions);
+    void on(const PeerMessageReceived &event, TimePoint now, Actions &actions);
+    void on(const PeerLinkChanged &event, TimePoint now, Actions &actions);
+    void on(const DrainRequested &event, TimePoint now, Actions &actions);
+    void on(const TimerFired &event, TimePoint now, Actions &actions);
+
+    void submitHere(const JobSubmitted &event, const std::optional<HomeJobId> &home, TimePoint now,
+                    Actions &actions);
+    void refuse(const JobSubmitted &event, NotRun refusal, TimePoint forgetAt, TimePoint now,
+                Actions &actions);
+    void completeAttempt(const Attempt &attempt, const AttemptResult &result, TimePoint now,
+                         Actions &actions);
+    /// Ends a job that cannot complete: not run if no task started, else failed.
+    void giveUp(JobHandle job, RefusalReason ifUnstarted, FailureReason ifStarted,
+                std::optional<Duration> retryAfter, Actions &actions);
+    void endJob(JobHandle job, JobOutcome outcome, Actions &actions);
+    void expire(TimePoint now, Actions &actions);
+    void startDueTasks(TimePoint now, Actions &actions);
+    void finishDrain(Actions &actions);
+
+    DispatcherOptions m_options;
+    TokenAuthority m_tokens;
+    JobTable m_jobs;
+    Scheduler m_scheduler;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    std::unordered_map<CallerRequestId, JobHandle> m_requests;
+    std::set<std::pair<TimePoint, JobHandle>> m_deadlines;
+    std::uint64_t m_nextAttempt = 1;
+    ConfigurationVersion m_configuration;
+    /// Tokens issued before this time start no new job.
+    TimePoint m_revokedBefore = TimePoint::min();
+    bool m_draining = false;
+    bool m_stopped = false;
+};
+
+} // namespace rattandock::core
--- /dev/null
+++ b/src/rattandock/adapters/http_server.cpp
@@ -0,0 +1,299 @@
+#include "rattandock/adapters/http_server.hpp"
+
+#include <atomic>
+#include <boost/asio/ip/v6_only.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <future>
+#include <list>
+#include <optional>
+
+#include "rattandock/adapters/io_wait.hpp"
+
+namespace rattandock::adapters {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+using BeastRequest = http::request<http::string_body>;
+using BeastResponse = http::response<http::string_body>;
+
+HttpRequest toRequest(BeastRequest &&from)
+{
+    HttpRequest request;
+    request.method = std::string{from.method_string()};
+    const std::string_view target{from.target().data(), from.target().size()};
+    const auto mark = target.find('?');
+    request.path = std::string{target.substr(0, mark)};
+    if (mark != std::string_view::npos) {
+        request.query = std::string{target.substr(mark + 1)};
+    }
+    for (const auto &it : from) {
+        request.headers.emplace_back(it.name_string(), it.value());
+    }
+    request.body = std::move(from.body());
+    return request;
+}
+
+BeastResponse toBeast(HttpResponse &&from, bool keepAlive)
+{
+    BeastResponse response{static_cast<http::status>(from.status), 11};
+    response.set(http::field::content_type, from.contentType);
+    for (const auto &[name, value] : from.headers) {
+        response.set(name, value);
+    }
+    response.body() = std::move(from.body);
+    response.keep_alive(keepAlive);
+    response.prepare_payload();
+    return response;
+}
+
+struct ReadRefusal
+{
+    unsigned status;
+    std::string_view reason;
+    std::string_view message;
+};
+
+std::optional<ReadRefusal> refusalFor(const beast::error_code &ec)
+{
+    if (ec == http::error::body_limit) {
+        return ReadRefusal{413, "body-too-large", "the body is larger than the limit"};
+    }
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+        return ReadRefusal{431, "header-too-large", "the headers are larger than the limit"};
+    }
+    if (ec == beast::error::timeout) {
+        return ReadRefusal{408, "slow-sender", "the request was not complete in time"};
+    }
+    if (ec == http::error::end_of_stream || ec == http::error::partial_message
+        || ec.category() != http::make_error_code(http::error::bad_method).category()) {
+        return std::nullopt;
+    }
+    return ReadRefusal{400, "malformed", "the request is not valid HTTP/1.1"};
+}
+
+} // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+{
+    /// One per I/O thread; touched by that thread only.
+    struct Connections
+    {
+        std::list<beast::tcp_stream *> idle;
+    };
+
+    State(IoThreads &owner, HttpServerLimits bounds, HttpHandler serve, BadRequestObserver observe)
+        : threads(owner)
+        , limits(bounds)
+        , handler(std::move(serve))
+        , observer(std::move(observe))
+        , acceptor(owner.io(0))
+        , perThread(owner.count())
+    {
+    }
+
+    IoThreads &threads;
+    const HttpServerLimits limits;
+    const HttpHandler handler;
+    const BadRequestObserver observer;
+    tcp::acceptor acceptor;
+    std::vector<Connections> perThread;
+    std::atomic<std::size_t> open = 0;
+    std::atomic<bool> stopping = false;
+
+    void acceptLoop();
+    void serve(std::size_t thread, tcp::socket socket);
+    void serveRequests(std::size_t thread, beast::tcp_stream &stream);
+    bool waitForRequest(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf);
+    bool serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf);
+    void refuse(beast::tcp_stream &stream, const ReadRefusal &refusal);
+};
+
+void HttpServer::State::acceptLoop()
+{
+    std::size_t next = 0;
+    while (!stopping) {
+        const std::size_t thread = next++ % threads.count();
+        std::optional<tcp::socket> accepted;
+        const IoEnd end = awaitIo([&](auto handle) {
+            acceptor.async_accept(threads.io(thread),
+                                  [&accepted, handle](auto ec, tcp::socket socket) mutable {
+                                      accepted = std::move(socket);
+                                      handle(ec);
+                                  });
+        });
+        if (end.ec) {
+            if (stopping || end.ec == asio::error::operation_aborted) {
+                return;
+            }
+            // Out of descriptors or a connection that was reset before its accept.
+            asio::steady_timer pause{threads.io(0), std::chrono::milliseconds{10}};
+            awaitIo([&pause](auto handle) { pause.async_wait(handle); });
+            continue;
+        }
+        if (open >= limits.maxConnections) {
+            observer("too-many-connections");
+            continue;
+        }
+        ++open;
+        threads.spawn(thread,
+                      [self = shared_from_this(), thread,
+                       socket = std::make_shared<tcp::socket>(std::move(*accepted))]() mutable {
+                          self->serve(thread, std::move(*socket));
+                          --self->open;
+                      });
+    }
+}
+
+void HttpServer::State::serve(std::size_t thread, tcp::socket socket)
+{
+    beast::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    beast::tcp_stream stream{std::move(socket)};
+    serveRequests(thread, stream);
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+void HttpServer::State::serveRequests(std::size_t thread, beast::tcp_stream &stream)
+{
+    beast::flat_buffer buf;
+    while (!stopping) {
+        if (buf.size() == 0 && !waitForRequest(thread, stream, buf)) {
+            return;
+        }
+        if (!serveOne(stream, buf)) {
+            return;
+        }
+    }
+}
+
+bool HttpServer::State::waitForRequest(std::size_t thread, beast::tcp_stream &stream,
+                                       beast::flat_buffer &buf)
+{
+    constexpr std::size_t firstRead = 4096;
+    auto &idle = perThread[thread].idle;
+    const auto it = idle.insert(idle.end(), &stream);
+    stream.expires_after(limits.idleTimeout);
+    const IoEnd end =
+            awaitIo([&](auto handle) { stream.async_read_some(buf.prepare(firstRead), handle); });
+    idle.erase(it);
+    if (end.ec) {
+        return false;
+    }
+    buf.commit(end.bytes);
+    return true;
+}
+
+bool HttpServer::State::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.maxHeaderBytes);
+    parser.body_limit(limits.maxBodyBytes);
+    stream.expires_after(limits.requestTimeout);
+    const IoEnd read = awaitIo([&](auto handle) { http::async_read(stream, buf, parser, handle); });
+    if (read.ec) {
+        if (const auto refusal = refusalFor(read.ec)) {
+            refuse(stream, *refusal);
+        }
+        return false;
+    }
+    const bool keepAlive = parser.get().keep_alive();
+    stream.expires_never();
+    HttpResponse served = handler(toRequest(parser.release()));
+    BeastResponse response = toBeast(std::move(served), keepAlive && !stopping);
+    stream.expires_after(limits.requestTimeout);
+    const IoEnd written =
+            awaitIo([&](auto handle) { http::async_write(stream, response, handle); });
+    return !written.ec && response.keep_alive();
+}
+
+void HttpServer::State::refuse(beast::tcp_stream &stream, const ReadRefusal &refusal)
+{
+    observer(refusal.reason);
+    HttpResponse answer;
+    answer.status = refusal.status;
+    answer.body = std::string{R"({"error":")"} + std::string{refusal.reason} + R"(","message":")"
+                  + std::string{refusal.message} + "\"}\n";
+    BeastResponse response = toBeast(std::move(answer), false);
+    stream.expires_after(limits.requestTimeout);
+    awaitIo([&](auto handle) { http::async_write(stream, response, handle); });
+    // Reads what the sender still sends for a moment; a reset would discard the answer.
+    beast::error_code ec;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    stream.expires_after(std::chrono::milliseconds{200});
+    std::array<char, 4096> discarded{};
+    constexpr int maxReads = 256;
+    for (int n = 0; n < maxReads; ++n) {
+        const IoEnd end = awaitIo(
+                [&](auto handle) { stream.async_read_some(asio::buffer(discarded), handle); });
+        if (end.ec) {
+            return;
+        }
+    }
+}
+
+IoResult<std::unique_ptr<HttpServer>>
+HttpServer::listen(IoThreads &threads, const tcp::endpoint &endpoint, HttpServerLimits limits,
+                   HttpHandler handler, BadRequestObserver observer)
+{
+    auto state = std::make_shared<State>(threads, limits, std::move(handler), std::move(observer));
+    beast::error_code ec;
+    tcp::acceptor &acceptor = state->acceptor;
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return ec;
+    }
+    threads.spawn(0, [state] { state->acceptLoop(); });
+    return std::unique_ptr<HttpServer>{new HttpServer(std::move(state))};
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+std::uint16_t HttpServer::port() const
+{
+    return m_state->acceptor.local_endpoint().port();
+}
+
+void HttpServer::stop()
+{
+    m_state->stopping = true;
+    for (std::size_t n = 0; n < m_state->threads.count(); ++n) {
+        std::promise<void> closed;
+        m_state->threads.spawn(n, [state = m_state, n, &closed] {
+            beast::error_code ec;
+            if (n == 0) {
+                state->acceptor.close(ec);
+            }
+            for (beast::tcp_stream *it : state->perThread[n].idle) {
+                it->cancel();
+            }
+            closed.set_value();
+        });
+        closed.get_future().wait();
+    }
+    while (m_state->open > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+}
+
+} // namespace rattandock::adapters
--- /dev/null
+++ b/src/rattandock/app/caller_api.cpp
@@ -0,0 +1,128 @@
+#include "rattandock/app/caller_api.hpp"
+
+#include <boost/json/serialize.hpp>
+#include <optional>
+
+#include "rattandock/app/fiber_question.hpp"
+
+namespace rattandock::app {
+
+using adapters::HttpRequest;
+using adapters::HttpResponse;
+
+namespace {
+
+constexpr std::string_view jobsPath = "/v1/jobs";
+constexpr std::string_view tokensPath = "/v1/tokens";
+
+std::optional<JobId> jobOf(const std::string &path)
+{
+    const std::string prefix = std::string{jobsPath} + '/';
+    if (!path.starts_with(prefix) || path.size() == prefix.size()) {
+        return std::nullopt;
+    }
+    return JobId{adapters::percentDecode(path.substr(prefix.size()))};
+}
+
+} // namespace
+
+CallerApi::CallerApi(DecisionLoop &loop, AnswerBoard &answers, adapters::Metrics &metrics,
+                     const ports::Clock &clock, adapters::JobLimits limits,
+                     core::TokenAuthority tokens)
+    : m_loop(loop)
+    , m_answers(answers)
+    , m_metrics(metrics)
+    , m_clock(clock)
+    , m_limits(limits)
+    , m_tokens(std::move(tokens))
+{
+}
+
+HttpResponse CallerApi::serve(const HttpRequest &request)
+{
+    HttpResponse response = route(request);
+    if (m_loop.issuesTokens()) {
+        response.headers.emplace_back("Rattandock-Home-Token",
+                                      format(m_tokens.issue(m_clock.now())));
+    }
+    return response;
+}
+
+HttpResponse CallerApi::route(const HttpRequest &request)
+{
+    const bool isJobs = request.path == jobsPath;
+    const bool isTokens = request.path == tokensPath;
+    const auto job = jobOf(request.path);
+    if (isJobs && request.method == "POST") {
+        return submit(request);
+    }
+    if (isTokens && request.method == "POST") {
+        return issueToken();
+    }
+    if (job && request.method == "GET") {
+        return show(*job);
+    }
+    if (job && request.method == "DELETE") {
+        return cancel(*job);
+    }
+    Findings findings;
+    if (isJobs || isTokens || job) {
+        findings.add("method", request.method + " is not allowed here");
+        return refuse(405, "method-not-allowed", findings);
+    }
+    findings.add("path", "is not a known route");
+    return refuse(404, "unknown-route", findings);
+}
+
+HttpResponse CallerApi::issueToken() const
+{
+    if (!m_loop.issuesTokens()) {
+        return {503, "{\"error\":\"no-tokens\"}\n", {{"Retry-After", "1"}}};
+    }
+    const core::HomeToken token = m_tokens.issue(m_clock.now());
+    boost::json::object object;
+    object["token"] = format(token);
+    object["lifetimeMs"] = toMilliseconds(token.lifetime);
+    return {200, boost::json::serialize(object) + '\n', {}};
+}
+
+HttpResponse CallerApi::submit(const HttpRequest &request)
+{
+    auto job = adapters::parseJob(request.body, m_limits);
+    if (!job) {
+        return refuse(400, "bad-job", job.error());
+    }
+    const JobId id = job.value().id;
+    const CallerRequestId waiting = m_answers.open();
+    m_loop.post(core::JobSubmitted{waiting, std::move(job.value())});
+    const core::JobOutcome outcome = m_answers.wait(waiting);
+    m_metrics.count("answers", reasonName(outcome).empty() ? name(outcome) : reasonName(outcome));
+    return {adapters::statusOf(outcome), adapters::formatAnswer(id, outcome), {}};
+}
+
+HttpResponse CallerApi::show(const JobId &job)
+{
+    const auto view = askAndWait(m_loop, [&job](core::Dispatcher &dispatcher, TimePoint) {
+        return dispatcher.view(job);
+    });
+    if (!view) {
+        Findings findings;
+        findings.add("id", "is not known to this VM");
+        return refuse(404, "unknown-job", findings);
+    }
+    return {200, adapters::formatView(*view), {}};
+}
+
+HttpResponse CallerApi::cancel(const JobId &job)
+{
+    m_loop.post(core::JobCancelled{job});
+    return show(job);
+}
+
+HttpResponse CallerApi::refuse(unsigned status, std::string_view reason, const Findings &findings)
+{
+    m_metrics.count("bad_requests", reason);
+    return {status, adapters::formatError(reason, findings), {}};
+}
+
+} // namespace rattandock::app
--- /dev/null
+++ b/src/rattandock/app/decision_loop.cpp
@@ -0,0 +1,90 @@
+#include "rattandock/app/decision_loop.hpp"
+
+#include "rattandock/base/overloaded.hpp"
+
+namespace rattandock::app {
+
+namespace {
+
+/// Longest wait without a timer; bounds how late an atomic flag is published.
+constexpr Duration idleWait = std::chrono::milliseconds{100};
+
+} // namespace
+
+DecisionLoop::DecisionLoop(core::Dispatcher dispatcher, const ports::Clock &clock)
+    : m_dispatcher(std::move(dispatcher))
+    , m_clock(clock)
+    , m_issuesTokens(m_dispatcher.issuesTokens())
+{
+}
+
+DecisionLoop::~DecisionLoop()
+{
+    stop();
+}
+
+void DecisionLoop::start(ActionPorts ports)
+{
+    m_ports.emplace(ports);
+    m_thread = std::thread([this] { run(); });
+}
+
+void DecisionLoop::stop()
+{
+    if (m_thread.joinable()) {
+        m_queue.enqueue(Quit{});
+        m_thread.join();
+    }
+}
+
+void DecisionLoop::post(core::Event event)
+{
+    m_queue.enqueue(std::move(event));
+}
+
+void DecisionLoop::ask(Question question)
+{
+    m_queue.enqueue(std::move(question));
+}
+
+void DecisionLoop::run()
+{
+    core::Actions actions;
+    while (true) {
+        const auto timer = m_dispatcher.nextTimer();
+        const Duration untilTimer = timer ? *timer - m_clock.now() : idleWait;
+        Item item = core::Event{core::TimerFired{}};
+        if (untilTimer > Duration::zero()) {
+            m_queue.wait_dequeue_timed(item, std::min(untilTimer, idleWait));
+        } else {
+            m_queue.try_dequeue(item);
+        }
+        const TimePoint now = m_clock.now();
+        if (std::holds_alternative<Quit>(item)) {
+            return;
+        }
+        std::visit(Overloaded{[&](const core::Event &it) { m_dispatcher.handle(it, now, actions); },
+                              [&](const Question &it) { it(m_dispatcher, now); },
+                              [](const Quit &) {}},
+                   item);
+        carryOut(actions, now);
+        m_issuesTokens = m_dispatcher.issuesTokens();
+    }
+}
+
+void DecisionLoop::carryOut(core::Actions &actions, TimePoint now)
+{
+    for (core::Action &action : actions) {
+        std::visit(
+                Overloaded{[&](core::StartTask &it) { m_ports->upstreams.start(std::move(it)); },
+                           [&](core::StopTask &it) { m_ports->upstreams.stop(std::move(it)); },
+                           [&](core::AnswerCaller &it) { m_ports->callers.answer(std::move(it)); },
+                           [&](core::SendToPeer &it) { m_ports->peers.send(std::move(it)); },
+                           [&](core::Note &it) { m_ports->notes.note(it, now); },
+                           [&](core::Stopped &) { m_stopped = true; }},
+                action);
+    }
+    actions.clear();
+}
+
+} // namespace rattandock::app
--- /dev/null
+++ b/src/rattandock/core/dispatcher.cpp
@@ -0,0 +1,337 @@
+#include "rattandock/core/dispatcher.hpp"
+
+#include <algorithm>
+
+#include "rattandock/base/overloaded.hpp"
+
+namespace rattandock::core {
+
+namespace {
+
+Note noteFor(NoteKind kind, std::string_view reason, const JobId &job, std::string detail = {})
+{
+    return Note{kind, reason, job, std::move(detail)};
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_tokens(m_options.vm, m_options.incarnation, m_options.tokenLifetime, m_options.tokenSecret)
+    , m_jobs(m_options.maxRecords, m_options.answerStore)
+    , m_scheduler(m_options, seed)
+{
+}
+
+void Dispatcher::handle(const Event &event, TimePoint now, Actions &actions)
+{
+    std::visit([&](const auto &it) { on(it, now, actions); }, event);
+    expire(now, actions);
+    startDueTasks(now, actions);
+    finishDrain(actions);
+}
+
+std::optional<TimePoint> Dispatcher::nextTimer() const
+{
+    std::optional<TimePoint> next = m_scheduler.nextTimer();
+    if (!m_deadlines.empty() && (!next || m_deadlines.begin()->first < *next)) {
+        next = m_deadlines.begin()->first;
+    }
+    return next;
+}
+
+DispatcherStatus Dispatcher::status() const
+{
+    return {m_jobs.size(), m_scheduler.queuedTasks(), m_scheduler.runningTasks(), m_draining,
+            m_configuration};
+}
+
+std::optional<JobView> Dispatcher::view(const JobId &id) const
+{
+    const auto job = m_jobs.find(id);
+    if (!job) {
+        return std::nullopt;
+    }
+    const JobRecord &record = m_jobs.at(*job);
+    return JobView{record.id, record.states.size(), JobTable::startedTasks(record).size(),
+                   record.doneCount, record.outcome};
+}
+
+void Dispatcher::on(const JobSubmitted &event, TimePoint now, Actions &actions)
+{
+    const auto home = parseHomeJobId(event.job.id);
+    if (home && !m_tokens.isOwn(home->token)) {
+        actions.emplace_back(
+                AnswerCaller{event.request, event.job.id, Unknown{UnknownReason::HomeLost}});
+        return;
+    }
+    submitHere(event, home, now, actions);
+}
+
+void Dispatcher::submitHere(const JobSubmitted &event, const std::optional<HomeJobId> &home,
+                            TimePoint now, Actions &actions)
+{
+    const JobSpec &job = event.job;
+    if (const auto known = m_jobs.find(job.id)) {
+        JobRecord &record = m_jobs.at(*known);
+        if (record.digest != digestOf(job)) {
+            actions.emplace_back(AnswerCaller{event.request, job.id,
+                                              NotRun{RefusalReason::IdReused, std::nullopt}});
+            return;
+        }
+        actions.emplace_back(noteFor(NoteKind::JobJoined, "resubmission", job.id));
+        if (record.outcome) {
+            actions.emplace_back(AnswerCaller{event.request, job.id, *record.outcome});
+            return;
+        }
+        record.waiting.push_back(event.request);
+        m_requests.emplace(event.request, *known);
+        return;
+    }
+
+    TimePoint forgetAt = now + m_options.keyValidity;
+    if (home) {
+        const TimePoint expires = home->token.issued + m_options.tokenLifetime;
+        forgetAt = expires + m_options.recordGrace;
+        const auto answer = [&](JobOutcome outcome) {
+            actions.emplace_back(AnswerCaller{event.request, job.id, std::move(outcome)});
+        };
+        if (!m_tokens.isGenuine(home->token)) {
+            return answer(NotRun{RefusalReason::TokenForged, std::nullopt});
+        }
+        if (now >= forgetAt) {
+            return answer(Unknown{UnknownReason::TokenExpired});
+        }
+        if (now >= expires) {
+            return answer(NotRun{RefusalReason::TokenExpired, Duration{}});
+        }
+        if (home->token.issued <= m_revokedBefore) {
+            return answer(NotRun{RefusalReason::TokenRevoked, Duration{}});
+        }
+    }
+    if (m_jobs.full()) {
+        if (home) {
+            m_revokedBefore = now;
+            actions.emplace_back(
+                    AnswerCaller{event.request, job.id,
+                                 NotRun{RefusalReason::TokenRevoked, m_options.recordGrace}});
+        } else {
+            actions.emplace_back(
+                    AnswerCaller{event.request, job.id, Unknown{UnknownReason::RecordTableFull}});
+        }
+        return;
+    }
+    if (m_draining) {
+        return refuse(event, {RefusalReason::Draining, Duration{}}, forgetAt, now, actions);
+    }
+    if (const auto refusal = m_scheduler.refusalFor(job, now)) {
+        return refuse(event, *refusal, forgetAt, now, actions);
+    }
+    const JobHandle handle = m_jobs.add(job, now, forgetAt);
+    JobRecord &record = m_jobs.at(handle);
+    record.waiting.push_back(event.request);
+    m_requests.emplace(event.request, handle);
+    m_deadlines.emplace(record.deadline, handle);
+    m_scheduler.enqueue(handle, record.spec, now);
+    actions.emplace_back(noteFor(NoteKind::JobAccepted, home ? "home-form" : "key-form", job.id,
+                                 std::to_string(job.tasks.size()) + " tasks"));
+}
+
+void Dispatcher::refuse(const JobSubmitted &event, NotRun refusal, TimePoint forgetAt,
+                        TimePoint now, Actions &actions)
+{
+    // Recorded, so that a delayed copy of the submission cannot run after this answer.
+    const JobHandle handle = m_jobs.add(event.job, now, forgetAt);
+    m_jobs.at(handle).waiting.push_back(event.request);
+    actions.emplace_back(noteFor(NoteKind::JobRefused, name(refusal.reason), event.job.id));
+    endJob(handle, refusal, actions);
+}
+
+void Dispatcher::on(const JobCancelled &event, TimePoint /*now*/, Actions &actions)
+{
+    const auto job = m_jobs.find(event.job);
+    if (job && !m_jobs.at(*job).outcome) {
+        giveUp(*job, RefusalReason::Cancelled, FailureReason::Cancelled, std::nullopt, actions);
+    }
+}
+
+void Dispatcher::on(const CallerLeft &event, TimePoint /*now*/, Actions & /*actions*/)
+{
+    const auto it = m_requests.find(event.request);
+    if (it == m_requests.end()) {
+        return;
+    }
+    std::erase(m_jobs.at(it->second).waiting, event.request);
+    m_requests.erase(it);
+}
+
+void Dispatcher::on(const AttemptEnded &event, TimePoint now, Actions &actions)
+{
+    const auto it = m_attempts.find(event.attempt);
+    if (it == m_attempts.end()) {
+        actions.emplace_back(noteFor(NoteKind::UnknownAttempt, "unknown-attempt", {}));
+        return;
+    }
+    const Attempt attempt = it->second;
+    m_attempts.erase(it);
+    m_scheduler.attemptEnded(attempt.task, attempt.upstream, event.result, event.elapsed, now,
+                             actions);
+    if (event.upstreamLeaving) {
+        m_scheduler.seeUpstream(attempt.upstream, UpstreamLife::Leaving, now, actions);
+    }
+    if (attempt.wanted) {
+        completeAttempt(attempt, event.result, now, actions);
+    }
+}
+
+void Dispatcher::completeAttempt(const Attempt &attempt, const AttemptResult &result, TimePoint now,
+                                 Actions &actions)
+{
+    const JobHandle job = attempt.task.job;
+    const std::uint32_t index = attempt.task.task.value();
+    JobRecord &record = m_jobs.at(job);
+    const auto completed = [&](const AttemptCompleted &it) {
+        record.states[index] = TaskState::Done;
+        record.results[index] = it.body;
+        if (++record.doneCount == record.states.size()) {
+            endJob(job, Complete{record.results}, actions);
+        }
+    };
+    const auto notStarted = [&](const AttemptNotStarted &it) {
+        record.states[index] = TaskState::Unstarted;
+        const auto verdict = m_scheduler.requeue(attempt.task, record.spec.tasks[index],
+                                                 record.spec.team, record.deadline, now);
+        if (verdict == RetryVerdict::BudgetEmpty) {
+            giveUp(job, RefusalReason::RetryBudgetEmpty, FailureReason::RetryBudgetEmpty,
+                   m_options.retryBackoff, actions);
+            return;
+        }
+        actions.emplace_back(
+                noteFor(NoteKind::TaskResent, name(it.reason), record.id,
+                        "task " + std::to_string(index) + ", " + attempt.upstream.value()));
+    };
+    const auto failed = [&](const AttemptFailed &it) {
+        const auto reason = it.reason == AttemptFailure::BadStatus ? FailureReason::TaskFailed
+                            : it.reason == AttemptFailure::CrossedReply
+                                    ? FailureReason::CrossedReply
+                            : it.reason == AttemptFailure::TimedOut ? FailureReason::DeadlinePassed
+                                                                    : FailureReason::ConnectionLost;
+        giveUp(job, RefusalReason::Cancelled, reason, std::nullopt, actions);
+    };
+    std::visit(Overloaded{completed, notStarted, failed}, result);
+}
+
+void Dispatcher::giveUp(JobHandle job, RefusalReason ifUnstarted, FailureReason ifStarted,
+                        std::optional<Duration> retryAfter, Actions &actions)
+{
+    m_scheduler.withdraw(job);
+    const auto started = JobTable::startedTasks(m_jobs.at(job));
+    for (auto &[id, attempt] : m_attempts) {
+        if (attempt.task.job == job && attempt.wanted) {
+            attempt.wanted = false;
+            actions.emplace_back(StopTask{id, attempt.upstream});
+        }
+    }
+    if (started.empty()) {
+        endJob(job, NotRun{ifUnstarted, retryAfter}, actions);
+    } else {
+        endJob(job, Failed{ifStarted, started}, actions);
+    }
+}
+
+void Dispatcher::endJob(JobHandle job, JobOutcome outcome, Actions &actions)
+{
+    JobRecord &record = m_jobs.at(job);
+    for (const CallerRequestId &it : record.waiting) {
+        actions.emplace_back(AnswerCaller{it, record.id, outcome});
+        m_requests.erase(it);
+    }
+    record.waiting.clear();
+    m_deadlines.erase({record.deadline, job});
+    actions.emplace_back(noteFor(NoteKind::JobEnded, name(outcome), record.id,
+                                 std::string{reasonName(outcome)}));
+    m_jobs.end(job, std::move(outcome));
+}
+
+void Dispatcher::on(const UpstreamSeen &event, TimePoint now, Actions &actions)
+{
+    m_scheduler.seeUpstream(event.upstream, event.life, now, actions);
+}
+
+void Dispatcher::on(const ConfigurationAccepted &event, TimePoint now, Actions &actions)
+{
+    if (event.version <= m_configuration) {
+        return;
+    }
+    m_configuration = event.version;
+    m_scheduler.configure(event.upstreams, event.teams, now);
+    actions.emplace_back(noteFor(NoteKind::ConfigurationInForce, "accepted", {},
+                                 "version " + std::to_string(event.version.value())));
+}
+
+void Dispatcher::on(const PeerMessageReceived & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
+{
+}
+
+void Dispatcher::on(const PeerLinkChanged & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
+{
+}
+
+void Dispatcher::on(const DrainRequested & /*event*/, TimePoint /*now*/, Actions &actions)
+{
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    std::vector<JobHandle> unstarted;
+    for (const auto &[handle, record] : m_jobs.records()) {
+        if (!record.outcome && JobTable::startedTasks(record).empty()) {
+            unstarted.push_back(handle);
+        }
+    }
+    for (const JobHandle &it : unstarted) {
+        giveUp(it, RefusalReason::Draining, FailureReason::Cancelled, Duration{}, actions);
+    }
+}
+
+void Dispatcher::on(const TimerFired & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
+{
+}
+
+void Dispatcher::expire(TimePoint now, Actions &actions)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        giveUp(m_deadlines.begin()->second, RefusalReason::DeadlinePassed,
+               FailureReason::DeadlinePassed, Duration{}, actions);
+    }
+    m_jobs.forgetUntil(now);
+}
+
+void Dispatcher::startDueTasks(TimePoint now, Actions &actions)
+{
+    std::vector<PlacedTask> placed;
+    m_scheduler.dispatch(now, placed);
+    for (const PlacedTask &it : placed) {
+        JobRecord &record = m_jobs.at(it.task.job);
+        const std::uint32_t index = it.task.task.value();
+        const TaskSpec &task = record.spec.tasks[index];
+        record.states[index] = TaskState::Sent;
+        const AttemptId attempt{m_nextAttempt++};
+        m_attempts.emplace(attempt, Attempt{it.task, it.upstream});
+        actions.emplace_back(
+                noteFor(NoteKind::TaskPlaced, it.reason, record.id,
+                        "task " + std::to_string(index) + " on " + it.upstream.value()));
+        actions.emplace_back(StartTask{attempt, record.id, it.task.task, it.upstream, task.estimate,
+                                       task.payload, record.deadline});
+    }
+}
+
+void Dispatcher::finishDrain(Actions &actions)
+{
+    if (m_draining && !m_stopped && m_deadlines.empty()) {
+        m_stopped = true;
+        actions.emplace_back(Stopped{});
+    }
+}
+
+} // namespace rattandock::core
--- /dev/null
+++ b/src/rattandock/core/dispatcher_test.cpp
@@ -0,0 +1,124 @@
+#include "rattandock/core/dispatcher.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattandock;
+using namespace rattandock::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+    Fixture()
+        : dispatcher(options(), 1)
+    {
+        UpstreamSpec upstream;
+        upstream.id = UpstreamId{"u1"};
+        upstream.slots = Slots{2};
+        send(ConfigurationAccepted{ConfigurationVersion{1}, {upstream}, {}});
+        actions.clear();
+    }
+
+    static DispatcherOptions options()
+    {
+        DispatcherOptions options;
+        options.vm = VmId{"vm-1"};
+        options.incarnation = Incarnation{7};
+        return options;
+    }
+
+    void send(const Event &event) { dispatcher.handle(event, now, actions); }
+
+    JobSpec job(const std::string &key, std::size_t tasks) const
+    {
+        JobSpec job;
+        job.id = JobId{format(dispatcher.issueToken(now)) + '/' + key};
+        job.deadline = 10s;
+        job.tasks.resize(tasks, TaskSpec{"payload", 100ms, {}});
+        return job;
+    }
+
+    template <typename T>
+    std::vector<T> take()
+    {
+        std::vector<T> found;
+        for (const Action &it : actions) {
+            if (const auto *action = std::get_if<T>(&it)) {
+                found.push_back(*action);
+            }
+        }
+        return found;
+    }
+
+    Dispatcher dispatcher;
+    TimePoint now{1s};
+    Actions actions;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DispatcherTest, Fixture)
+
+// Guards against an answer with a missing or misplaced result.
+BOOST_AUTO_TEST_CASE(answersOnceAllTasksAreDone)
+{
+    send(JobSubmitted{CallerRequestId{1}, job("a", 2)});
+    const auto starts = take<StartTask>();
+    BOOST_REQUIRE_EQUAL(starts.size(), 2);
+    send(AttemptEnded{starts[1].attempt, AttemptCompleted{"second"}, 100ms, false});
+    BOOST_TEST(take<AnswerCaller>().empty());
+    send(AttemptEnded{starts[0].attempt, AttemptCompleted{"first"}, 100ms, false});
+    const auto answers = take<AnswerCaller>();
+    BOOST_REQUIRE_EQUAL(answers.size(), 1);
+    const JobOutcome expected = Complete{{"first", "second"}};
+    BOOST_TEST((answers[0].outcome == expected));
+}
+
+// Guards against a second start when a caller resubmits.
+BOOST_AUTO_TEST_CASE(resubmissionJoinsAndThenGetsTheStoredAnswer)
+{
+    const JobSpec submitted = job("a", 1);
+    send(JobSubmitted{CallerRequestId{1}, submitted});
+    send(JobSubmitted{CallerRequestId{2}, submitted});
+    const auto starts = take<StartTask>();
+    BOOST_REQUIRE_EQUAL(starts.size(), 1);
+    send(AttemptEnded{starts[0].attempt, AttemptCompleted{"x"}, 100ms, false});
+    send(JobSubmitted{CallerRequestId{3}, submitted});
+    BOOST_TEST(take<AnswerCaller>().size() == 3);
+    BOOST_TEST(take<StartTask>().size() == 1);
+}
+
+// Guards against a refused submission that runs when a delayed copy of it arrives.
+BOOST_AUTO_TEST_CASE(refusedIdNeverRuns)
+{
+    JobSpec submitted = job("a", 1);
+    submitted.tasks[0].needs.cores = Cores{1000};
+    send(JobSubmitted{CallerRequestId{1}, submitted});
+    UpstreamSpec larger;
+    larger.id = UpstreamId{"u2"};
+    larger.capacity.cores = Cores{2000};
+    send(ConfigurationAccepted{ConfigurationVersion{2}, {larger}, {}});
+    send(JobSubmitted{CallerRequestId{2}, submitted});
+    BOOST_TEST(take<StartTask>().empty());
+    const auto answers = take<AnswerCaller>();
+    BOOST_REQUIRE_EQUAL(answers.size(), 2);
+    BOOST_TEST((answers[0].outcome == answers[1].outcome));
+}
+
+// Guards against sending a task again after its request may have reached the upstream.
+BOOST_AUTO_TEST_CASE(lostConnectionFailsTheJob)
+{
+    send(JobSubmitted{CallerRequestId{1}, job("a", 1)});
+    const auto starts = take<StartTask>();
+    BOOST_REQUIRE_EQUAL(starts.size(), 1);
+    send(AttemptEnded{starts[0].attempt, AttemptFailed{AttemptFailure::ConnectionLost}, 1ms,
+                      false});
+    BOOST_TEST(take<StartTask>().size() == 1);
+    const auto answers = take<AnswerCaller>();
+    BOOST_REQUIRE_EQUAL(answers.size(), 1);
+    const JobOutcome expected = Failed{FailureReason::ConnectionLost, {TaskIndex{0}}};
+    BOOST_TEST((answers[0].outcome == expected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/rattandock/core/job_table.cpp
@@ -0,0 +1,124 @@
+#include "rattandock/core/job_table.hpp"
+
+#include <cassert>
+
+namespace rattandock::core {
+
+namespace {
+
+std::uint64_t bodyBytes(const JobOutcome &outcome)
+{
+    std::uint64_t n = 0;
+    if (const auto *complete = std::get_if<Complete>(&outcome)) {
+        for (const std::string &it : complete->results) {
+            n += it.size();
+        }
+    }
+    return n;
+}
+
+} // namespace
+
+JobTable::JobTable(std::size_t maxRecords, Bytes answerStore)
+    : m_maxRecords(maxRecords)
+    , m_answerStore(answerStore)
+{
+}
+
+std::optional<JobHandle> JobTable::find(const JobId &id) const
+{
+    const auto it = m_byId.find(id);
+    if (it == m_byId.end()) {
+        return std::nullopt;
+    }
+    return it->second;
+}
+
+bool JobTable::full() const
+{
+    return m_records.size() >= m_maxRecords;
+}
+
+JobHandle JobTable::add(JobSpec job, TimePoint now, TimePoint forgetAt)
+{
+    assert(!full() && !find(job.id));
+    const JobHandle handle{m_nextHandle++};
+    JobRecord record;
+    record.id = job.id;
+    record.digest = digestOf(job);
+    record.states.resize(job.tasks.size(), TaskState::Unstarted);
+    record.results.resize(job.tasks.size());
+    record.accepted = now;
+    record.deadline = now + job.deadline;
+    record.forgetAt = forgetAt;
+    record.spec = std::move(job);
+    m_byId.emplace(record.id, handle);
+    m_byForgetTime.emplace(forgetAt, handle);
+    m_records.emplace(handle, std::move(record));
+    return handle;
+}
+
+JobRecord &JobTable::at(JobHandle job)
+{
+    return m_records.at(job);
+}
+
+const JobRecord &JobTable::at(JobHandle job) const
+{
+    return m_records.at(job);
+}
+
+void JobTable::end(JobHandle job, JobOutcome outcome)
+{
+    JobRecord &record = at(job);
+    assert(!record.outcome);
+    if (const std::uint64_t n = bodyBytes(outcome); n > 0) {
+        m_storedBytes += n;
+        m_storedAnswers.emplace(m_nextStored++, job);
+    }
+    record.outcome = std::move(outcome);
+    record.spec = {};
+    record.results.clear();
+    record.results.shrink_to_fit();
+    evictAnswers();
+}
+
+void JobTable::forgetUntil(TimePoint now)
+{
+    while (!m_byForgetTime.empty() && m_byForgetTime.begin()->first <= now) {
+        const JobHandle job = m_byForgetTime.begin()->second;
+        const auto it = m_records.find(job);
+        if (!it->second.outcome) {
+            // A running job outlives its time only by the handling of its deadline.
+            return;
+        }
+        m_byForgetTime.erase(m_byForgetTime.begin());
+        m_storedBytes -= bodyBytes(*it->second.outcome);
+        std::erase_if(m_storedAnswers, [job](const auto &entry) { return entry.second == job; });
+        m_byId.erase(it->second.id);
+        m_records.erase(it);
+    }
+}
+
+std::vector<TaskIndex> JobTable::startedTasks(const JobRecord &record)
+{
+    std::vector<TaskIndex> started;
+    for (std::uint32_t n = 0; n < record.states.size(); ++n) {
+        if (record.states[n] != TaskState::Unstarted) {
+            started.emplace_back(n);
+        }
+    }
+    return started;
+}
+
+void JobTable::evictAnswers()
+{
+    while (m_storedBytes > m_answerStore.value() && !m_storedAnswers.empty()) {
+        JobRecord &record = at(m_storedAnswers.begin()->second);
+        m_storedAnswers.erase(m_storedAnswers.begin());
+        m_storedBytes -= bodyBytes(*record.outcome);
+        record.outcome = Failed{FailureReason::AnswerEvicted, startedTasks(record)};
+    }
+}
+
+} // namespace rattandock::core
--- /dev/null
+++ b/src/rattandock/core/peer_message.cpp
@@ -0,0 +1,16 @@
+#include "rattandock/core/peer_message.hpp"
+
+#include <array>
+
+namespace rattandock::core {
+
+std::string_view name(const PeerMessage &message)
+{
+    static constexpr std::array<std::string_view, std::variant_size_v<PeerMessage>> names{
+            "heartbeat",        "forward-job",      "forwarded-answer",
+            "slot-request",     "slot-grant",       "slot-release",
+            "handover-records", "handover-pointer", "configuration-delta"};
+    return names.at(message.index());
+}
+
+} // namespace rattandock::core
--- /dev/null
+++ b/src/rattandockd/main.cpp
@@ -0,0 +1,89 @@
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+#include "rattandock/adapters/log.hpp"
+#include "rattandock/adapters/settings.hpp"
+#include "rattandock/app/daemon.hpp"
+#include "rattandock/app/exit_code.hpp"
+
+using namespace rattandock;
+
+namespace {
+
+cxxopts::Options commandLine()
+{
+    cxxopts::Options options{"rattandockd", "Dispatcher for sub-second tasks, one per entry VM."};
+    options.add_options()("s,settings", "settings file, JSON with comments",
+                          cxxopts::value<std::string>())(
+            "check-settings", "report every fault of the settings and exit")(
+            "version", "print the version")("h,help", "print this help");
+    return options;
+}
+
+int serve(const adapters::Settings &settings, const sigset_t &stopSignals)
+{
+    auto daemon = app::Daemon::start(settings);
+    if (!daemon) {
+        std::cerr << describe(daemon.error());
+        return app::exitFailed;
+    }
+    int signal = 0;
+    sigwait(&stopSignals, &signal);
+    daemon.value()->drain();
+    while (!daemon.value()->isDrained()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    daemon.value()->stop();
+    adapters::log(adapters::LogLevel::Info, adapters::LogPart::Daemon, "stopped");
+    return app::exitOk;
+}
+
+int run(int argc, char **argv)
+{
+    auto options = commandLine();
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+        std::cout << options.help();
+        return app::exitOk;
+    }
+    if (arguments.count("version") > 0) {
+        std::cout << "rattandockd " RATTANDOCK_VERSION "\n";
+        return app::exitOk;
+    }
+    if (arguments.count("settings") == 0 || !arguments.unmatched().empty()) {
+        std::cerr << "rattandockd: --settings FILE is needed; see --help\n";
+        return app::exitUsage;
+    }
+    const auto settings = adapters::loadSettings(arguments["settings"].as<std::string>());
+    if (!settings) {
+        std::cerr << describe(settings.error());
+        return app::exitSettings;
+    }
+    if (arguments.count("check-settings") > 0) {
+        std::cout << "settings are valid\n";
+        return app::exitOk;
+    }
+    adapters::setUpLog(settings.value().logLevel);
+    // Blocked before any thread starts, so that only sigwait() takes them.
+    sigset_t stopSignals;
+    sigemptyset(&stopSignals);
+    sigaddset(&stopSignals, SIGTERM);
+    sigaddset(&stopSignals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return serve(settings.value(), stopSignals);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "rattandockd: " << error.what() << "\n";
+        return app::exitUsage;
+    }
+}
