--- a/cmake/compiler.cmake
+++ b/cmake/compiler.cmake
@@ -6,7 +6,7 @@
 if(RATTANDOCK_SANITIZE)
     # GCC reports false positives from Boost and the standard library when it instruments code.
     target_compile_options(rattandock-compiler INTERFACE
-        -fsanitize=${RATTANDOCK_SANITIZE} -fno-omit-frame-pointer -Wno-error -w)
+        -O1 -g1 -fsanitize=${RATTANDOCK_SANITIZE} -fno-omit-frame-pointer -Wno-error -w)
     target_link_options(rattandock-compiler INTERFACE -fsanitize=${RATTANDOCK_SANITIZE})
 endif()
 
--- a/include/rattandock/adapters/upstream_client.hpp
+++ b/include/rattandock/adapters/upstream_client.hpp
@@ -32,7 +32,7 @@
     using Addresses = std::unordered_map<UpstreamId, boost::asio::ip::tcp::endpoint>;
 
     UpstreamClient(IoThreads &threads, const ports::Clock &clock, ports::EventSink &events,
-                   UpstreamClientOptions options, Addresses addresses);
+                   UpstreamClientOptions options, const Addresses &addresses);
     ~UpstreamClient() override;
 
     void start(core::StartTask task) override;
--- a/include/rattandock/base/overloaded.hpp
+++ b/include/rattandock/base/overloaded.hpp
@@ -9,4 +9,7 @@
     using Lambdas::operator()...;
 };
 
+template <typename... Lambdas>
+Overloaded(Lambdas...) -> Overloaded<Lambdas...>;
+
 } // namespace rattandock
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -5,4 +5,5 @@
 cd "$(dirname "$0")/.."
 
 preset=${1:-release}
+export TSAN_OPTIONS="suppressions=$PWD/cmake/tsan.supp halt_on_error=1"
 ctest --test-dir "build/$preset" --output-on-failure --no-tests=error -j 4
--- a/src/rattandock/adapters/log.cpp
+++ b/src/rattandock/adapters/log.cpp
@@ -5,6 +5,7 @@
 #include <log4cxx/patternlayout.h>
 
 #include <array>
+#include <atomic>
 
 namespace rattandock::adapters {
 
@@ -48,6 +49,7 @@
     root->removeAllAppenders();
     root->addAppender(appender);
     root->setLevel(toLevel(level));
+    lowestLevel = level;
 }
 
 void log(LogLevel level, LogPart part, std::string_view sentence, std::string_view job)
@@ -66,7 +68,7 @@
 
 bool isLogged(LogLevel level)
 {
-    return logger()->isEnabledFor(toLevel(level));
+    return level <= lowestLevel;
 }
 
 } // namespace rattandock::adapters
--- a/src/rattandock/adapters/upstream_client.cpp
+++ b/src/rattandock/adapters/upstream_client.cpp
@@ -263,7 +263,7 @@
 
 UpstreamClient::UpstreamClient(IoThreads &threads, const ports::Clock &clock,
                                ports::EventSink &events, UpstreamClientOptions options,
-                               Addresses addresses)
+                               const Addresses &addresses)
     : m_threads(threads)
 {
     for (std::size_t n = 0; n < threads.count(); ++n) {
