Queue tasks by team share and deadline

The simple scheduler kept one map of tasks: withdraw() and nextTimer() scanned it, nextTimer() returned a past time while all slots were busy, and a team with many tasks held up the others.

TaskQueue keeps jobs by team in order of deadline, then fewest unstarted tasks; delayed tasks stand in a time order of their own, which is all that nextTimer() reads. TeamShares orders waiting teams by weighted virtual time, charged by expected and corrected by measured slot time. A team at its quota comes after all teams below theirs, so idle quota is lent and is reclaimed as tasks end.

--- a/include/rattandock/core/scheduler.hpp
+++ b/include/rattandock/core/scheduler.hpp
@@ -13,6 +13,8 @@
 #include "rattandock/core/job_handle.hpp"
 #include "rattandock/core/job_outcome.hpp"
 #include "rattandock/core/job_spec.hpp"
+#include "rattandock/core/task_queue.hpp"
+#include "rattandock/core/team_shares.hpp"
 #include "rattandock/core/team_spec.hpp"
 #include "rattandock/core/upstream_spec.hpp"
 
@@ -63,9 +65,10 @@
     RetryVerdict requeue(const TaskRef &task, const TaskSpec &spec, const TeamId &team,
                          TimePoint deadline, TimePoint now);
 
-    std::optional<TimePoint> nextTimer() const;
+    /// When dispatch() is due without another event. Nothing when tasks wait only for slots.
+    std::optional<TimePoint> nextTimer() const { return m_queue.nextRelease(); }
 
-    std::size_t queuedTasks() const;
+    std::size_t queuedTasks() const { return m_queue.size(); }
     std::size_t runningTasks() const { return m_running; }
 
 private:
@@ -76,24 +79,22 @@
         std::uint32_t running = 0;
         bool configured = true;
     };
-    struct QueuedTask
+    struct Running
     {
-        TaskRef task;
-        Resources needs;
-        Duration estimate{};
-        TimePoint deadline;
-        TimePoint notBefore;
-        std::uint64_t payloadBytes = 0;
+        TeamIndex team;
+        Duration expected{};
     };
 
     Upstream *choose(const QueuedTask &task);
+    bool startNext(TimePoint now, std::vector<PlacedTask> &placed);
+    bool startFromTeam(TeamIndex team, std::vector<PlacedTask> &placed);
 
     DispatcherOptions m_options;
     std::mt19937_64 m_random;
     std::map<UpstreamId, Upstream> m_upstreams;
-    /// Ordered by deadline, then by job and task.
-    std::map<std::pair<TimePoint, TaskRef>, QueuedTask> m_queue;
-    std::uint64_t m_queuedBytes = 0;
+    TaskQueue m_queue;
+    TeamShares m_shares;
+    std::map<TaskRef, Running> m_runningTasks;
     std::size_t m_running = 0;
     double m_retryTokens = 10.0;
 };
--- /dev/null
+++ b/include/rattandock/core/task_queue.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "rattandock/core/job_handle.hpp"
+#include "rattandock/core/job_spec.hpp"
+#include "rattandock/core/team_shares.hpp"
+
+namespace rattandock::core {
+
+/// The upstream shapes (distinct capacities) that a task fits, one bit each.
+using FitMask = std::uint64_t;
+
+/// An unstarted task.
+struct QueuedTask
+{
+    TaskIndex task;
+    Resources needs;
+    /// Estimated run time on an upstream of speed 1; greater than zero.
+    Duration estimate{};
+    std::uint32_t payloadBytes = 0;
+    FitMask fit = 0;
+};
+
+/// Place of a job in its team: earliest deadline, then fewest unstarted tasks, then oldest.
+struct JobOrderKey
+{
+    TimePoint deadline;
+    std::uint32_t remaining = 0;
+    JobHandle job;
+
+    friend auto operator<=>(const JobOrderKey &, const JobOrderKey &) = default;
+};
+
+/// Unstarted tasks by team, fit and job. The work to add, take or withdraw a job does not depend
+/// on the number of other tasks but by a logarithm. Thread safety: none.
+class TaskQueue
+{
+public:
+    /// Jobs of one team by the shapes that their tasks fit. Shape: no lane is empty.
+    using Lanes = std::map<FitMask, std::set<JobOrderKey>>;
+
+    /// What a withdrawn job had in the queue.
+    struct Withdrawn
+    {
+        TeamIndex team;
+        TimePoint deadline;
+        Duration work{};
+        std::size_t tasks = 0;
+    };
+
+    /// Adds tasks of one job that may start at once.
+    void add(JobHandle job, TeamIndex team, TimePoint deadline,
+             const std::vector<QueuedTask> &tasks);
+
+    /// Adds one task that may not start before the given time.
+    void addDelayed(JobHandle job, TeamIndex team, TimePoint deadline, const QueuedTask &task,
+                    TimePoint notBefore);
+
+    /// Makes the delayed tasks ready whose time has come; appends their teams.
+    void release(TimePoint now, std::vector<TeamIndex> &released);
+    /// When release() next makes a task ready.
+    std::optional<TimePoint> nextRelease() const;
+
+    /// Removes all tasks of the job; nothing if it has none.
+    std::optional<Withdrawn> withdraw(JobHandle job);
+
+    /// Ready jobs of the team.
+    const Lanes &lanes(TeamIndex team) const;
+    bool hasReady(TeamIndex team) const { return !lanes(team).empty(); }
+
+    /// Precondition for these: the job is in the lane.
+    const QueuedTask &longest(JobHandle job, FitMask fit) const;
+    const QueuedTask &shortest(JobHandle job, FitMask fit) const;
+    QueuedTask takeLongest(JobHandle job, FitMask fit);
+    QueuedTask takeShortest(JobHandle job, FitMask fit);
+
+    /// Unstarted tasks of the job, ready or delayed.
+    std::uint32_t remaining(JobHandle job) const;
+
+    /// Calls function(QueuedTask &) on each task and files it by its new fit; visits all tasks.
+    template <typename Function>
+    void refit(Function function);
+
+    std::size_t size() const { return m_size; }
+    std::uint64_t bytes() const { return m_bytes; }
+
+private:
+    /// Ready tasks of one job and fit, shortest first; those before `first` are taken.
+    struct Lane
+    {
+        FitMask fit = 0;
+        std::size_t first = 0;
+        std::vector<QueuedTask> tasks;
+    };
+    struct Job
+    {
+        TeamIndex team;
+        TimePoint deadline;
+        std::uint32_t remaining = 0;
+        Duration work{};
+        std::vector<Lane> lanes;
+        /// Times under which delayed tasks of this job stand in m_delayed.
+        std::vector<std::pair<TimePoint, TaskIndex>> delayed;
+    };
+
+    static Lane &laneOf(Job &job, FitMask fit);
+    static const Lane &laneOf(const Job &job, FitMask fit);
+    Job &jobFor(JobHandle handle, TeamIndex team, TimePoint deadline);
+    void insertReady(Job &job, const QueuedTask &task);
+    void file(JobHandle handle, const Job &job);
+    void unfile(JobHandle handle, const Job &job);
+    void count(Job &job, const QueuedTask &task);
+    QueuedTask take(JobHandle handle, FitMask fit, bool longest);
+    std::vector<QueuedTask> removeReady(JobHandle handle, Job &job);
+
+    std::unordered_map<JobHandle, Job> m_jobs;
+    std::vector<Lanes> m_teams;
+    std::map<std::pair<TimePoint, TaskRef>, QueuedTask> m_delayed;
+    std::size_t m_size = 0;
+    std::uint64_t m_bytes = 0;
+};
+
+template <typename Function>
+void TaskQueue::refit(Function function)
+{
+    for (auto &[handle, job] : m_jobs) {
+        for (QueuedTask &it : removeReady(handle, job)) {
+            function(it);
+            insertReady(job, it);
+        }
+        file(handle, job);
+    }
+    for (auto &[key, task] : m_delayed) {
+        function(task);
+    }
+}
+
+} // namespace rattandock::core
--- a/src/rattandock/core/scheduler.cpp
+++ b/src/rattandock/core/scheduler.cpp
@@ -26,8 +26,9 @@
 }
 
 void Scheduler::configure(const std::vector<UpstreamSpec> &upstreams,
-                          const std::vector<TeamSpec> & /*teams*/, TimePoint /*now*/)
+                          const std::vector<TeamSpec> &teams, TimePoint /*now*/)
 {
+    m_shares.configure(teams);
     for (auto &[id, upstream] : m_upstreams) {
         upstream.configured = false;
     }
@@ -75,7 +76,7 @@
         }
     }
     if (m_queue.size() + job.tasks.size() > m_options.maxQueuedTasks
-        || m_queuedBytes + bytes > m_options.maxQueuedBytes.value()) {
+        || m_queue.bytes() + bytes > m_options.maxQueuedBytes.value()) {
         return NotRun{RefusalReason::QueueFull, refusalRetryAfter};
     }
     return std::nullopt;
@@ -83,48 +84,68 @@
 
 void Scheduler::enqueue(JobHandle job, const JobSpec &spec, TimePoint now)
 {
+    const TeamIndex team = m_shares.indexOf(spec.team);
+    std::vector<QueuedTask> tasks;
+    tasks.reserve(spec.tasks.size());
     for (std::uint32_t n = 0; n < spec.tasks.size(); ++n) {
-        const TaskSpec &task = spec.tasks[n];
-        const TaskRef ref{job, TaskIndex{n}};
-        const TimePoint deadline = now + spec.deadline;
-        m_queue.emplace(std::pair{deadline, ref}, QueuedTask{ref, task.needs, task.estimate,
-                                                             deadline, now, task.payload.size()});
-        m_queuedBytes += task.payload.size();
+        const TaskSpec &it = spec.tasks[n];
+        tasks.push_back({TaskIndex{n}, it.needs, it.estimate,
+                         static_cast<std::uint32_t>(it.payload.size()), 1});
     }
+    m_queue.add(job, team, now + spec.deadline, tasks);
+    m_shares.setWaiting(team, m_queue.hasReady(team));
 }
 
 void Scheduler::withdraw(JobHandle job)
 {
-    for (auto it = m_queue.begin(); it != m_queue.end();) {
-        if (it->second.task.job == job) {
-            m_queuedBytes -= it->second.payloadBytes;
-            it = m_queue.erase(it);
-        } else {
-            ++it;
-        }
+    if (const auto withdrawn = m_queue.withdraw(job)) {
+        m_shares.setWaiting(withdrawn->team, m_queue.hasReady(withdrawn->team));
     }
 }
 
 void Scheduler::dispatch(TimePoint now, std::vector<PlacedTask> &placed)
 {
-    for (auto it = m_queue.begin(); it != m_queue.end();) {
-        Upstream *upstream = it->second.notBefore <= now ? choose(it->second) : nullptr;
-        if (upstream == nullptr) {
-            ++it;
-            continue;
+    std::vector<TeamIndex> released;
+    m_queue.release(now, released);
+    for (const TeamIndex it : released) {
+        m_shares.setWaiting(it, true);
+    }
+    while (startNext(now, placed)) { }
+}
+
+bool Scheduler::startNext(TimePoint /*now*/, std::vector<PlacedTask> &placed)
+{
+    const auto start = [&](const auto &entry) { return startFromTeam(entry.second, placed); };
+    return std::ranges::any_of(m_shares.belowQuota(), start)
+           || std::ranges::any_of(m_shares.atQuota(), start);
+}
+
+bool Scheduler::startFromTeam(TeamIndex team, std::vector<PlacedTask> &placed)
+{
+    for (const auto &[fit, jobs] : m_queue.lanes(team)) {
+        for (const JobOrderKey &key : jobs) {
+            Upstream *upstream = choose(m_queue.longest(key.job, fit));
+            if (upstream == nullptr) {
+                continue;
+            }
+            const JobHandle job = key.job;
+            const QueuedTask task = m_queue.takeLongest(job, fit);
+            ++upstream->running;
+            ++m_running;
+            m_runningTasks[{job, task.task}] = {team, task.estimate};
+            m_shares.setWaiting(team, m_queue.hasReady(team));
+            m_shares.started(team, task.estimate);
+            m_retryTokens = std::min(maxRetryTokens, m_retryTokens + m_options.retryBudgetShare);
+            placed.push_back({{job, task.task}, upstream->spec.id, "least-outstanding"});
+            return true;
         }
-        ++upstream->running;
-        ++m_running;
-        m_retryTokens = std::min(maxRetryTokens, m_retryTokens + m_options.retryBudgetShare);
-        placed.push_back({it->second.task, upstream->spec.id, "least-outstanding"});
-        m_queuedBytes -= it->second.payloadBytes;
-        it = m_queue.erase(it);
     }
+    return false;
 }
 
-void Scheduler::attemptEnded(const TaskRef & /*task*/, const UpstreamId &upstream,
-                             const AttemptResult & /*result*/, Duration /*elapsed*/,
-                             TimePoint /*now*/, Actions & /*actions*/)
+void Scheduler::attemptEnded(const TaskRef &task, const UpstreamId &upstream,
+                             const AttemptResult & /*result*/, Duration elapsed, TimePoint /*now*/,
+                             Actions & /*actions*/)
 {
     const auto it = m_upstreams.find(upstream);
     assert(it != m_upstreams.end() && it->second.running > 0);
@@ -133,9 +154,13 @@
     if (!it->second.configured && it->second.running == 0) {
         m_upstreams.erase(it);
     }
+    const auto running = m_runningTasks.find(task);
+    assert(running != m_runningTasks.end());
+    m_shares.ended(running->second.team, running->second.expected, elapsed);
+    m_runningTasks.erase(running);
 }
 
-RetryVerdict Scheduler::requeue(const TaskRef &task, const TaskSpec &spec, const TeamId & /*team*/,
+RetryVerdict Scheduler::requeue(const TaskRef &task, const TaskSpec &spec, const TeamId &team,
                                 TimePoint deadline, TimePoint now)
 {
     if (m_retryTokens < 1.0) {
@@ -144,29 +169,13 @@
     m_retryTokens -= 1.0;
     std::uniform_int_distribution<Duration::rep> jitter(m_options.retryBackoff.count() / 2,
                                                         m_options.retryBackoff.count());
-    m_queue.emplace(std::pair{deadline, task},
-                    QueuedTask{task, spec.needs, spec.estimate, deadline,
-                               now + Duration{jitter(m_random)}, spec.payload.size()});
-    m_queuedBytes += spec.payload.size();
+    m_queue.addDelayed(task.job, m_shares.indexOf(team), deadline,
+                       {task.task, spec.needs, spec.estimate,
+                        static_cast<std::uint32_t>(spec.payload.size()), 1},
+                       now + Duration{jitter(m_random)});
     return RetryVerdict::Requeued;
 }
 
-std::optional<TimePoint> Scheduler::nextTimer() const
-{
-    std::optional<TimePoint> next;
-    for (const auto &[key, task] : m_queue) {
-        if (!next || task.notBefore < *next) {
-            next = task.notBefore;
-        }
-    }
-    return next;
-}
-
-std::size_t Scheduler::queuedTasks() const
-{
-    return m_queue.size();
-}
-
 Scheduler::Upstream *Scheduler::choose(const QueuedTask &task)
 {
     Upstream *best = nullptr;
