--- a/include/rattandock/core/team_shares.hpp
+++ b/include/rattandock/core/team_shares.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -30,6 +31,9 @@
     /// The team's index; an unknown team is added with weight 1 and no quota.
     TeamIndex indexOf(const TeamId &team);
 
+    /// Nothing for a team that has not been seen.
+    std::optional<TeamIndex> find(const TeamId &team) const;
+
     /// Whether the team has tasks that could start. A team that starts to wait gets no credit for
     /// the time in which it had nothing to run.
     void setWaiting(TeamIndex team, bool waiting);
@@ -45,13 +49,10 @@
     const Order &atQuota() const { return m_atQuota; }
 
     std::uint32_t running(TeamIndex team) const { return m_teams[team.value()].running; }
+    bool isBelowQuota(TeamIndex team) const;
+    std::uint32_t weight(TeamIndex team) const { return m_teams[team.value()].weight; }
     std::uint32_t quota(TeamIndex team) const { return m_teams[team.value()].quota; }
 
-    /// The team's part of the capacity if it waits beside the teams that wait now. Unit: 0 to 1.
-    double share(TeamIndex team) const;
-    /// As above, for a team that may be unknown.
-    double shareOf(const TeamId &team) const;
-
 private:
     struct Team
     {
@@ -62,6 +63,7 @@
         bool waiting = false;
     };
 
+    static bool belowQuota(const Team &team);
     Order &orderOf(const Team &team);
     /// Applies a change to a team and keeps its place in the order right.
     template <typename Change>
@@ -73,7 +75,6 @@
     Order m_atQuota;
     /// Virtual time of the last start.
     double m_virtualTime = 0;
-    double m_waitingWeight = 0;
 };
 
 } // namespace rattandock::core
--- a/src/rattandock/core/team_shares.cpp
+++ b/src/rattandock/core/team_shares.cpp
@@ -20,12 +20,10 @@
     Team &team = m_teams[index.value()];
     if (team.waiting) {
         orderOf(team).erase({team.virtualTime, index});
-        m_waitingWeight -= team.weight;
     }
     change(team);
     if (team.waiting) {
         orderOf(team).emplace(team.virtualTime, index);
-        m_waitingWeight += team.weight;
     }
 }
 
@@ -55,6 +53,15 @@
     return it->second;
 }
 
+std::optional<TeamIndex> TeamShares::find(const TeamId &team) const
+{
+    const auto it = m_indexes.find(team);
+    if (it == m_indexes.end()) {
+        return std::nullopt;
+    }
+    return it->second;
+}
+
 void TeamShares::setWaiting(TeamIndex team, bool waiting)
 {
     if (m_teams[team.value()].waiting == waiting) {
@@ -86,22 +93,19 @@
     });
 }
 
-double TeamShares::share(TeamIndex team) const
+TeamShares::Order &TeamShares::orderOf(const Team &team)
 {
-    const Team &it = m_teams[team.value()];
-    const double others = it.waiting ? m_waitingWeight - it.weight : m_waitingWeight;
-    return it.weight / (it.weight + others);
+    return belowQuota(team) ? m_belowQuota : m_atQuota;
 }
 
-double TeamShares::shareOf(const TeamId &team) const
+bool TeamShares::isBelowQuota(TeamIndex team) const
 {
-    const auto it = m_indexes.find(team);
-    return it == m_indexes.end() ? 1.0 / (1.0 + m_waitingWeight) : share(it->second);
+    return belowQuota(m_teams[team.value()]);
 }
 
-TeamShares::Order &TeamShares::orderOf(const Team &team)
+bool TeamShares::belowQuota(const Team &team)
 {
-    return team.quota == 0 || team.running < team.quota ? m_belowQuota : m_atQuota;
+    return team.quota == 0 || team.running < team.quota;
 }
 
 } // namespace rattandock::core
--- a/src/rattandock/core/team_shares_test.cpp
+++ b/src/rattandock/core/team_shares_test.cpp
@@ -39,7 +39,6 @@
         shares.started(it, 100ms);
     }
     BOOST_TEST(startsOfA == 300);
-    BOOST_TEST(shares.share(a) == 0.75);
 }
 
 // Guards against a team that gains slots by declaring estimates which are too low.
