Build the scheduler from its modules

Scheduler now composes UpstreamTable, TaskQueue, TeamShares, Placement, Admission and RetryBudget behind its present interface. A job in the last half of its time goes before the virtual time of teams; shares are then kept by admission.

Tasks wait for faster slots only while the queue is shorter than 3% of the slots. With any queue length, waits left slots idle: p99 of response over ideal was 15.5 against 4.5 without waits. With a longer queue, upstreams beyond 1.5 times the mean cost take a job's shortest task.

--- a/include/rattandock/core/scheduler.hpp
+++ b/include/rattandock/core/scheduler.hpp
@@ -1,22 +1,25 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <random>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "rattandock/core/action.hpp"
+#include "rattandock/core/admission.hpp"
 #include "rattandock/core/attempt_result.hpp"
 #include "rattandock/core/dispatcher_options.hpp"
 #include "rattandock/core/job_handle.hpp"
 #include "rattandock/core/job_outcome.hpp"
 #include "rattandock/core/job_spec.hpp"
+#include "rattandock/core/placement.hpp"
+#include "rattandock/core/retry_budget.hpp"
 #include "rattandock/core/task_queue.hpp"
 #include "rattandock/core/team_shares.hpp"
 #include "rattandock/core/team_spec.hpp"
 #include "rattandock/core/upstream_spec.hpp"
+#include "rattandock/core/upstream_table.hpp"
 
 namespace rattandock::core {
 
@@ -66,37 +69,76 @@
                          TimePoint deadline, TimePoint now);
 
     /// When dispatch() is due without another event. Nothing when tasks wait only for slots.
-    std::optional<TimePoint> nextTimer() const { return m_queue.nextRelease(); }
+    std::optional<TimePoint> nextTimer() const;
 
     std::size_t queuedTasks() const { return m_queue.size(); }
     std::size_t runningTasks() const { return m_running; }
 
 private:
-    struct Upstream
+    struct RunningTask
     {
-        UpstreamSpec spec;
-        UpstreamLife life = UpstreamLife::Live;
-        std::uint32_t running = 0;
-        bool configured = true;
+        TaskIndex task;
+        SlotLease lease;
+        std::uint32_t rack = 0;
+        /// Estimate that the team was charged by; greater than zero.
+        Duration estimate{};
+        bool estimateKnown = false;
     };
-    struct Running
+    /// A job with queued or running tasks.
+    struct Job
     {
         TeamIndex team;
-        Duration expected{};
+        TimePoint deadline;
+        /// From then on the job goes before teams that are next by virtual time.
+        TimePoint urgentFrom;
+        std::vector<RunningTask> running;
+        /// Running tasks by rack.
+        std::vector<std::uint16_t> racks;
+        /// Re-sends of each task that was sent again.
+        std::vector<std::pair<TaskIndex, std::uint32_t>> resends;
+        /// The dispatcher gave the job up: its failures say nothing of the upstreams.
+        bool withdrawn = false;
     };
-
-    Upstream *choose(const QueuedTask &task);
-    bool startNext(TimePoint now, std::vector<PlacedTask> &placed);
-    bool startFromTeam(TeamIndex team, std::vector<PlacedTask> &placed);
+    /// One pass over the queue in dispatch().
+    struct Round
+    {
+        TimePoint now;
+        std::vector<PlacedTask> &placed;
+        /// Fits for which no slot is free.
+        std::vector<FitMask> blocked;
+        std::uint32_t waits = 0;
+    };
+    enum class Outcome : std::uint8_t { Started, Waits, NoSlot };
+
+    QueuedTask queuedTask(std::uint32_t index, const TaskSpec &spec) const;
+    Duration reckonedEstimate(Duration estimate) const;
+    Admission::Capacity capacity() const;
+    bool startNext(Round &round);
+    bool startUrgent(Round &round);
+    bool startFromTeam(Round &round, TeamIndex team);
+    Outcome startFromJob(Round &round, JobHandle job, FitMask fit);
+    std::optional<UpstreamIndex> probeFor(FitMask fit) const;
+    void start(Round &round, JobHandle handle, const QueuedTask &task,
+               const PlacementChoice &choice);
+    void judge(const RunningTask &running, JobHandle job, bool withdrawn,
+               const AttemptResult &result, Duration elapsed, TimePoint now, Actions &actions);
+    void forgetIfDone(JobHandle job);
 
     DispatcherOptions m_options;
-    std::mt19937_64 m_random;
-    std::map<UpstreamId, Upstream> m_upstreams;
+    UpstreamTable m_upstreams;
     TaskQueue m_queue;
     TeamShares m_shares;
-    std::map<TaskRef, Running> m_runningTasks;
+    Placement m_placement;
+    Admission m_admission;
+    RetryBudget m_retries;
+    std::unordered_map<JobHandle, Job> m_jobs;
     std::size_t m_running = 0;
-    double m_retryTokens = 10.0;
+    /// Sum of the expected run times of all running tasks.
+    Duration m_expectedTimes{};
+    /// Reckoned for tasks whose estimate is 0.
+    Duration m_typicalEstimate = 100ms;
+    /// When a task that waits for a fast slot is looked at again.
+    std::optional<TimePoint> m_recheck;
 };
 
 } // namespace rattandock::core
--- a/include/rattandock/core/task_queue.hpp
+++ b/include/rattandock/core/task_queue.hpp
@@ -7,15 +7,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "rattandock/core/fit_mask.hpp"
 #include "rattandock/core/job_handle.hpp"
 #include "rattandock/core/job_spec.hpp"
 #include "rattandock/core/team_shares.hpp"
 
 namespace rattandock::core {
 
-/// The upstream shapes (distinct capacities) that a task fits, one bit each.
-using FitMask = std::uint64_t;
-
 /// An unstarted task.
 struct QueuedTask
 {
@@ -25,6 +23,8 @@
     Duration estimate{};
     std::uint32_t payloadBytes = 0;
     FitMask fit = 0;
+    /// False if the caller declared no estimate and one was assumed.
+    bool estimateKnown = true;
 };
 
 /// Place of a job in its team: earliest deadline, then fewest unstarted tasks, then oldest.
@@ -74,6 +74,9 @@
     const Lanes &lanes(TeamIndex team) const;
     bool hasReady(TeamIndex team) const { return !lanes(team).empty(); }
 
+    /// The ready job of each team that is due first, by deadline.
+    const std::set<std::pair<JobOrderKey, TeamIndex>> &heads() const { return m_heads; }
+
     /// Precondition for these: the job is in the lane.
     const QueuedTask &longest(JobHandle job, FitMask fit) const;
     const QueuedTask &shortest(JobHandle job, FitMask fit) const;
@@ -115,12 +118,16 @@
     void insertReady(Job &job, const QueuedTask &task);
     void file(JobHandle handle, const Job &job);
     void unfile(JobHandle handle, const Job &job);
+    void updateHead(TeamIndex team);
     void count(Job &job, const QueuedTask &task);
     QueuedTask take(JobHandle handle, FitMask fit, bool longest);
     std::vector<QueuedTask> removeReady(JobHandle handle, Job &job);
 
     std::unordered_map<JobHandle, Job> m_jobs;
     std::vector<Lanes> m_teams;
+    std::set<std::pair<JobOrderKey, TeamIndex>> m_heads;
+    /// The entry of each team in m_heads.
+    std::vector<std::optional<JobOrderKey>> m_headOfTeam;
     std::map<std::pair<TimePoint, TaskRef>, QueuedTask> m_delayed;
     std::size_t m_size = 0;
     std::uint64_t m_bytes = 0;
@@ -135,6 +142,7 @@
             insertReady(job, it);
         }
         file(handle, job);
+        updateHead(job.team);
     }
     for (auto &[key, task] : m_delayed) {
         function(task);
--- a/src/rattandock/core/scheduler.cpp
+++ b/src/rattandock/core/scheduler.cpp
@@ -1,27 +1,59 @@
 #include "rattandock/core/scheduler.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 
+#include "rattandock/base/overloaded.hpp"
+
 namespace rattandock::core {
 
 namespace {
 
-bool fits(const Resources &needs, const Resources &capacity)
+/// Tasks wait for faster slots only while the queue is shorter than this part of the slots. With a
+/// longer queue others take those slots first: waits then left slots idle and raised p99 of
+/// response over ideal from 4.5 to 15.5 (placement_comparison_bench).
+constexpr double waitingQueuePart = 0.03;
+/// Bounds the tasks that are passed over in one round.
+constexpr std::uint32_t maxWaits = 64;
+/// With a longer queue, upstreams beyond this factor of the mean cost take a job's shortest task.
+constexpr double slowFactor = 1.5;
+/// A job goes before the virtual time of teams in this last part of its time. Shares are kept by
+/// admission. Without it, 48 to 149 of about 2,300 admitted jobs ended late at twice the capacity.
+constexpr double urgentPart = 0.5;
+/// Bounds the search for urgent jobs.
+constexpr std::size_t maxUrgentHeads = 4;
+/// Weight of a completed task in the estimate of tasks that declare none.
+constexpr double typicalEstimateWeight = 0.02;
+/// Part of their expected time that running tasks need yet: half on average, and more since long
+/// tasks are found running more often.
+constexpr double runningPart = 0.6;
+/// Time to come back when there is no upstream at all.
+constexpr Duration noUpstreamsRetryAfter = std::chrono::milliseconds{1000};
+
+Duration scaled(Duration time, double factor)
 {
-    return needs.cores <= capacity.cores && needs.memory <= capacity.memory
-           && needs.accelerators <= capacity.accelerators;
+    return Duration{static_cast<Duration::rep>(static_cast<double>(time.count()) * factor)};
 }
 
-/// Time to come back after a refusal for lack of room.
-constexpr Duration refusalRetryAfter = std::chrono::milliseconds{200};
-constexpr double maxRetryTokens = 100.0;
+/// Whether the result tells of the upstream. The pool's own limits do not.
+bool blamesUpstream(const AttemptResult &result)
+{
+    if (const auto *it = std::get_if<AttemptNotStarted>(&result)) {
+        return it->reason == NotStartedReason::ConnectionRefused
+               || it->reason == NotStartedReason::UpstreamRefused;
+    }
+    return std::holds_alternative<AttemptFailed>(result);
+}
 
 } // namespace
 
 Scheduler::Scheduler(const DispatcherOptions &options, std::uint64_t seed)
     : m_options(options)
-    , m_random(seed)
+    , m_upstreams(options.zone)
+    , m_placement(options.placement, seed)
+    , m_admission({options.maxQueuedTasks, options.maxQueuedBytes.value()})
+    , m_retries(options.retryBudgetShare, options.retryBackoff, seed + 1)
 {
 }
 
@@ -29,78 +61,77 @@
                           const std::vector<TeamSpec> &teams, TimePoint /*now*/)
 {
     m_shares.configure(teams);
-    for (auto &[id, upstream] : m_upstreams) {
-        upstream.configured = false;
-    }
-    for (const UpstreamSpec &it : upstreams) {
-        Upstream &upstream = m_upstreams[it.id];
-        upstream.spec = it;
-        upstream.configured = true;
-    }
-    std::erase_if(m_upstreams, [](const auto &entry) {
-        return !entry.second.configured && entry.second.running == 0;
-    });
+    m_upstreams.configure(upstreams);
+    m_queue.refit([this](QueuedTask &it) { it.fit = m_upstreams.fitOf(it.needs); });
 }
 
 void Scheduler::seeUpstream(const UpstreamId &upstream, UpstreamLife life, TimePoint /*now*/,
                             Actions &actions)
 {
-    const auto it = m_upstreams.find(upstream);
-    if (it == m_upstreams.end() || it->second.life == life) {
-        return;
-    }
-    it->second.life = life;
-    if (life == UpstreamLife::Leaving) {
+    const auto index = m_upstreams.find(upstream);
+    if (index && m_upstreams.setLife(*index, life) && life == UpstreamLife::Leaving) {
         actions.emplace_back(Note{NoteKind::UpstreamLeaving, "leaving", {}, upstream.value()});
     }
 }
 
-std::optional<NotRun> Scheduler::refusalFor(const JobSpec &job, TimePoint /*now*/) const
+std::optional<NotRun> Scheduler::refusalFor(const JobSpec &job, TimePoint now) const
 {
     if (m_upstreams.empty()) {
-        return NotRun{RefusalReason::NoUpstreams, refusalRetryAfter};
-    }
-    const auto fitsSomewhere = [this](const TaskSpec &task) {
-        return std::ranges::any_of(m_upstreams, [&task](const auto &entry) {
-            return entry.second.configured && fits(task.needs, entry.second.spec.capacity);
-        });
-    };
-    if (!std::ranges::all_of(job.tasks, fitsSomewhere)) {
-        return NotRun{RefusalReason::NoUpstreamFits, std::nullopt};
+        return NotRun{RefusalReason::NoUpstreams, noUpstreamsRetryAfter};
     }
-    std::uint64_t bytes = 0;
+    Admission::Request request;
+    request.team = m_shares.find(job.team);
+    request.deadline = job.deadline;
+    request.tasks = job.tasks.size();
+    bool runnable = true;
     for (const TaskSpec &it : job.tasks) {
-        bytes += it.payload.size();
-        if (it.estimate > job.deadline) {
-            return NotRun{RefusalReason::DeadlineTooShort, std::nullopt};
+        const FitMask fit = m_upstreams.fitOf(it.needs);
+        if (fit == 0) {
+            return NotRun{RefusalReason::NoUpstreamFits, std::nullopt};
         }
+        runnable = runnable && m_upstreams.canRun(fit);
+        const Duration estimate = reckonedEstimate(it.estimate);
+        request.bytes += it.payload.size();
+        request.work += estimate;
+        request.longest = std::max(request.longest, estimate);
     }
-    if (m_queue.size() + job.tasks.size() > m_options.maxQueuedTasks
-        || m_queue.bytes() + bytes > m_options.maxQueuedBytes.value()) {
-        return NotRun{RefusalReason::QueueFull, refusalRetryAfter};
+    if (!runnable) {
+        return NotRun{RefusalReason::NoUpstreams, noUpstreamsRetryAfter};
     }
-    return std::nullopt;
+    return m_admission.refusalFor(request, {m_queue.size(), m_queue.bytes()}, capacity(), m_shares,
+                                  now);
 }
 
 void Scheduler::enqueue(JobHandle job, const JobSpec &spec, TimePoint now)
 {
     const TeamIndex team = m_shares.indexOf(spec.team);
+    const TimePoint deadline = now + spec.deadline;
     std::vector<QueuedTask> tasks;
     tasks.reserve(spec.tasks.size());
+    Duration work{};
     for (std::uint32_t n = 0; n < spec.tasks.size(); ++n) {
-        const TaskSpec &it = spec.tasks[n];
-        tasks.push_back({TaskIndex{n}, it.needs, it.estimate,
-                         static_cast<std::uint32_t>(it.payload.size()), 1});
+        tasks.push_back(queuedTask(n, spec.tasks[n]));
+        work += tasks.back().estimate;
     }
-    m_queue.add(job, team, now + spec.deadline, tasks);
+    Job &record = m_jobs[job];
+    record.team = team;
+    record.deadline = deadline;
+    record.urgentFrom = deadline - scaled(spec.deadline, urgentPart);
+    m_queue.add(job, team, deadline, tasks);
+    m_admission.add(team, deadline, work, now);
     m_shares.setWaiting(team, m_queue.hasReady(team));
 }
 
 void Scheduler::withdraw(JobHandle job)
 {
     if (const auto withdrawn = m_queue.withdraw(job)) {
+        m_admission.remove(withdrawn->team, withdrawn->deadline, withdrawn->work);
         m_shares.setWaiting(withdrawn->team, m_queue.hasReady(withdrawn->team));
     }
+    if (const auto it = m_jobs.find(job); it != m_jobs.end()) {
+        it->second.withdrawn = true;
+        forgetIfDone(job);
+    }
 }
 
 void Scheduler::dispatch(TimePoint now, std::vector<PlacedTask> &placed)
@@ -110,84 +141,264 @@
     for (const TeamIndex it : released) {
         m_shares.setWaiting(it, true);
     }
-    while (startNext(now, placed)) { }
+    m_upstreams.release(now);
+    m_recheck.reset();
+    Round round{now, placed, {}, 0};
+    do {
+        round.waits = 0;
+        m_placement.beginRound();
+    } while (startNext(round));
 }
 
-bool Scheduler::startNext(TimePoint /*now*/, std::vector<PlacedTask> &placed)
+bool Scheduler::startNext(Round &round)
 {
-    const auto start = [&](const auto &entry) { return startFromTeam(entry.second, placed); };
+    if (m_upstreams.slots().freeCount() == 0 && m_upstreams.probesDue().empty()) {
+        return false;
+    }
+    if (startUrgent(round)) {
+        return true;
+    }
+    const auto start = [&](const auto &entry) {
+        return round.waits < maxWaits && startFromTeam(round, entry.second);
+    };
     return std::ranges::any_of(m_shares.belowQuota(), start)
            || std::ranges::any_of(m_shares.atQuota(), start);
 }
 
-bool Scheduler::startFromTeam(TeamIndex team, std::vector<PlacedTask> &placed)
+bool Scheduler::startUrgent(Round &round)
 {
-    for (const auto &[fit, jobs] : m_queue.lanes(team)) {
-        for (const JobOrderKey &key : jobs) {
-            Upstream *upstream = choose(m_queue.longest(key.job, fit));
-            if (upstream == nullptr) {
-                continue;
-            }
-            const JobHandle job = key.job;
-            const QueuedTask task = m_queue.takeLongest(job, fit);
-            ++upstream->running;
-            ++m_running;
-            m_runningTasks[{job, task.task}] = {team, task.estimate};
-            m_shares.setWaiting(team, m_queue.hasReady(team));
-            m_shares.started(team, task.estimate);
-            m_retryTokens = std::min(maxRetryTokens, m_retryTokens + m_options.retryBudgetShare);
-            placed.push_back({{job, task.task}, upstream->spec.id, "least-outstanding"});
+    std::size_t looked = 0;
+    for (const auto &[head, team] : m_queue.heads()) {
+        if (++looked > maxUrgentHeads) {
+            break;
+        }
+        if (m_jobs.at(head.job).urgentFrom <= round.now && m_shares.isBelowQuota(team)
+            && startFromTeam(round, team)) {
             return true;
         }
     }
     return false;
 }
 
-void Scheduler::attemptEnded(const TaskRef &task, const UpstreamId &upstream,
-                             const AttemptResult & /*result*/, Duration elapsed, TimePoint /*now*/,
-                             Actions & /*actions*/)
+bool Scheduler::startFromTeam(Round &round, TeamIndex team)
 {
-    const auto it = m_upstreams.find(upstream);
-    assert(it != m_upstreams.end() && it->second.running > 0);
-    --it->second.running;
+    const TaskQueue::Lanes &lanes = m_queue.lanes(team);
+    std::vector<std::pair<JobOrderKey, FitMask>> order;
+    for (const auto &[fit, jobs] : lanes) {
+        order.emplace_back(*jobs.begin(), fit);
+    }
+    std::ranges::sort(order);
+    for (const auto &[first, fit] : order) {
+        if (std::ranges::find(round.blocked, fit) != round.blocked.end()) {
+            continue;
+        }
+        for (const JobOrderKey &key : lanes.at(fit)) {
+            const Outcome outcome = startFromJob(round, key.job, fit);
+            if (outcome == Outcome::Started) {
+                // The lane may be gone now.
+                return true;
+            }
+            if (outcome == Outcome::NoSlot) {
+                round.blocked.push_back(fit);
+                break;
+            }
+            if (++round.waits >= maxWaits) {
+                return false;
+            }
+        }
+    }
+    return false;
+}
+
+Scheduler::Outcome Scheduler::startFromJob(Round &round, JobHandle job, FitMask fit)
+{
+    if (const auto probe = probeFor(fit)) {
+        start(round, job, m_queue.takeShortest(job, fit), {*probe, "probe"});
+        return Outcome::Started;
+    }
+    PlacementRequest request;
+    request.fit = fit;
+    request.lastOfJob = m_queue.remaining(job) == 1;
+    request.mayWait = static_cast<double>(m_queue.size())
+                      <= std::max(1.0, waitingQueuePart * m_upstreams.usableSlots());
+    request.jobRacks = m_jobs.at(job).racks;
+    request.now = round.now;
+    request.estimate = m_queue.longest(job, fit).estimate;
+    PlacementDecision decision = m_placement.choose(m_upstreams, request);
+    if (std::holds_alternative<NoFreeSlot>(decision)) {
+        return Outcome::NoSlot;
+    }
+    if (const auto *choice = std::get_if<PlacementChoice>(&decision)) {
+        if (m_options.placement == PlacementPolicyKind::SpeedAware && !request.mayWait
+            && m_upstreams.cost(choice->upstream) > slowFactor * m_upstreams.meanCost()) {
+            start(round, job, m_queue.takeShortest(job, fit),
+                  {choice->upstream, "slow-for-shortest"});
+        } else {
+            start(round, job, m_queue.takeLongest(job, fit), *choice);
+        }
+        return Outcome::Started;
+    }
+    const TimePoint until = std::get<WaitForSlot>(decision).until;
+    m_recheck = std::min(m_recheck.value_or(until), until);
+    const QueuedTask &shortest = m_queue.shortest(job, fit);
+    if (shortest.task == m_queue.longest(job, fit).task) {
+        return Outcome::Waits;
+    }
+    request.estimate = shortest.estimate;
+    decision = m_placement.choose(m_upstreams, request);
+    if (const auto *choice = std::get_if<PlacementChoice>(&decision)) {
+        start(round, job, m_queue.takeShortest(job, fit), *choice);
+        return Outcome::Started;
+    }
+    return Outcome::Waits;
+}
+
+std::optional<UpstreamIndex> Scheduler::probeFor(FitMask fit) const
+{
+    for (const UpstreamIndex it : m_upstreams.probesDue()) {
+        if ((fit >> m_upstreams.at(it).slotClass.shape & 1U) != 0) {
+            return it;
+        }
+    }
+    return std::nullopt;
+}
+
+void Scheduler::start(Round &round, JobHandle handle, const QueuedTask &task,
+                      const PlacementChoice &choice)
+{
+    Job &job = m_jobs.at(handle);
+    const UpstreamTable::Upstream &upstream = m_upstreams.at(choice.upstream);
+    const std::uint32_t rack = upstream.rack;
+    const SlotLease lease = m_upstreams.start(choice.upstream, task.estimate, round.now);
+    job.running.push_back({task.task, lease, rack, task.estimate, task.estimateKnown});
+    if (job.racks.size() <= rack) {
+        job.racks.resize(m_upstreams.rackCount());
+    }
+    ++job.racks[rack];
+    ++m_running;
+    m_expectedTimes += lease.expectedEnd - lease.started;
+    m_admission.remove(job.team, job.deadline, task.estimate);
+    m_shares.setWaiting(job.team, m_queue.hasReady(job.team));
+    m_shares.started(job.team, lease.expectedEnd - lease.started);
+    if (std::ranges::find(job.resends, task.task, [](const auto &it) { return it.first; })
+        == job.resends.end()) {
+        m_retries.taskStarted();
+    }
+    round.placed.push_back({{handle, task.task}, upstream.spec.id, choice.reason});
+}
+
+void Scheduler::attemptEnded(const TaskRef &task, const UpstreamId & /*upstream*/,
+                             const AttemptResult &result, Duration elapsed, TimePoint now,
+                             Actions &actions)
+{
+    Job &job = m_jobs.at(task.job);
+    const auto it = std::ranges::find(job.running, task.task, &RunningTask::task);
+    assert(it != job.running.end());
+    const RunningTask running = *it;
+    *it = job.running.back();
+    job.running.pop_back();
     --m_running;
-    if (!it->second.configured && it->second.running == 0) {
-        m_upstreams.erase(it);
+    m_expectedTimes -= running.lease.expectedEnd - running.lease.started;
+    --job.racks[running.rack];
+    m_shares.ended(job.team, running.lease.expectedEnd - running.lease.started, elapsed);
+    judge(running, task.job, job.withdrawn, result, elapsed, now, actions);
+    m_upstreams.end(running.lease);
+    // A task that did not start follows in requeue(), which needs its number of re-sends.
+    if (job.withdrawn || !std::holds_alternative<AttemptNotStarted>(result)) {
+        forgetIfDone(task.job);
+    }
+}
+
+void Scheduler::judge(const RunningTask &running, JobHandle job, bool withdrawn,
+                      const AttemptResult &result, Duration elapsed, TimePoint now,
+                      Actions &actions)
+{
+    const UpstreamIndex upstream = running.lease.upstream;
+    auto change = UpstreamHealth::Change::None;
+    if (std::holds_alternative<AttemptCompleted>(result)) {
+        change = m_upstreams.succeeded(upstream, job);
+        m_admission.observe(running.lease.expectedEnd - running.lease.started, elapsed);
+        if (running.estimateKnown) {
+            m_upstreams.learn(upstream, running.estimate, elapsed);
+        }
+        const Duration atSpeedOne = scaled(elapsed, 1.0 / m_upstreams.cost(upstream));
+        m_typicalEstimate += scaled(atSpeedOne - m_typicalEstimate, typicalEstimateWeight);
+    } else if (!withdrawn && blamesUpstream(result)) {
+        change = m_upstreams.failed(upstream, job, now);
+    } else {
+        m_upstreams.endedWithoutVerdict(upstream);
+    }
+    const std::string &id = m_upstreams.at(upstream).spec.id.value();
+    if (change == UpstreamHealth::Change::Ejected) {
+        actions.emplace_back(Note{NoteKind::UpstreamSetAside, "consecutive-failures", {}, id});
+    } else if (change == UpstreamHealth::Change::Restored) {
+        actions.emplace_back(Note{NoteKind::UpstreamRestored, "probe-completed", {}, id});
     }
-    const auto running = m_runningTasks.find(task);
-    assert(running != m_runningTasks.end());
-    m_shares.ended(running->second.team, running->second.expected, elapsed);
-    m_runningTasks.erase(running);
 }
 
 RetryVerdict Scheduler::requeue(const TaskRef &task, const TaskSpec &spec, const TeamId &team,
                                 TimePoint deadline, TimePoint now)
 {
-    if (m_retryTokens < 1.0) {
+    if (!m_retries.spend()) {
+        forgetIfDone(task.job);
         return RetryVerdict::BudgetEmpty;
     }
-    m_retryTokens -= 1.0;
-    std::uniform_int_distribution<Duration::rep> jitter(m_options.retryBackoff.count() / 2,
-                                                        m_options.retryBackoff.count());
-    m_queue.addDelayed(task.job, m_shares.indexOf(team), deadline,
-                       {task.task, spec.needs, spec.estimate,
-                        static_cast<std::uint32_t>(spec.payload.size()), 1},
-                       now + Duration{jitter(m_random)});
+    Job &job = m_jobs[task.job];
+    job.team = m_shares.indexOf(team);
+    job.deadline = deadline;
+    auto it = std::ranges::find(job.resends, task.task,
+                                [](const auto &entry) { return entry.first; });
+    if (it == job.resends.end()) {
+        it = job.resends.insert(it, {task.task, 0});
+    }
+    const QueuedTask queued = queuedTask(task.task.value(), spec);
+    m_queue.addDelayed(task.job, job.team, deadline, queued, now + m_retries.backoff(it->second++));
+    m_admission.add(job.team, deadline, queued.estimate, now);
     return RetryVerdict::Requeued;
 }
 
-Scheduler::Upstream *Scheduler::choose(const QueuedTask &task)
+std::optional<TimePoint> Scheduler::nextTimer() const
 {
-    Upstream *best = nullptr;
-    for (auto &[id, it] : m_upstreams) {
-        const bool usable = it.configured && it.life == UpstreamLife::Live
-                            && it.running < it.spec.slots.value()
-                            && fits(task.needs, it.spec.capacity);
-        if (usable && (best == nullptr || it.running < best->running)) {
-            best = &it;
+    if (m_queue.size() == 0) {
+        return std::nullopt;
+    }
+    std::optional<TimePoint> next;
+    for (const auto &time :
+         std::array{m_queue.nextRelease(), m_upstreams.nextRelease(), m_recheck}) {
+        if (time && (!next || *time < *next)) {
+            next = time;
         }
     }
-    return best;
+    return next;
+}
+
+QueuedTask Scheduler::queuedTask(std::uint32_t index, const TaskSpec &spec) const
+{
+    return {TaskIndex{index},
+            spec.needs,
+            reckonedEstimate(spec.estimate),
+            static_cast<std::uint32_t>(spec.payload.size()),
+            m_upstreams.fitOf(spec.needs),
+            spec.estimate > Duration{}};
+}
+
+Duration Scheduler::reckonedEstimate(Duration estimate) const
+{
+    return estimate > Duration{} ? estimate : std::max(m_typicalEstimate, Duration{1});
+}
+
+Admission::Capacity Scheduler::capacity() const
+{
+    return {m_upstreams.usableSlots(), m_upstreams.meanCost(), m_upstreams.fastestCost(),
+            scaled(m_expectedTimes, runningPart)};
+}
+
+void Scheduler::forgetIfDone(JobHandle job)
+{
+    const auto it = m_jobs.find(job);
+    if (it != m_jobs.end() && it->second.running.empty() && m_queue.remaining(job) == 0) {
+        m_jobs.erase(it);
+    }
 }
 
 } // namespace rattandock::core
--- a/src/rattandock/core/task_queue.cpp
+++ b/src/rattandock/core/task_queue.cpp
@@ -29,6 +29,7 @@
                   shorter);
     }
     file(job, record);
+    updateHead(team);
 }
 
 void TaskQueue::addDelayed(JobHandle job, TeamIndex team, TimePoint deadline,
@@ -40,6 +41,7 @@
     record.delayed.emplace_back(notBefore, task.task);
     m_delayed.emplace(std::pair{notBefore, TaskRef{job, task.task}}, task);
     file(job, record);
+    updateHead(team);
 }
 
 void TaskQueue::release(TimePoint now, std::vector<TeamIndex> &released)
@@ -51,6 +53,7 @@
         unfile(ref.job, job);
         insertReady(job, m_delayed.begin()->second);
         file(ref.job, job);
+        updateHead(job.team);
         released.push_back(job.team);
         m_delayed.erase(m_delayed.begin());
     }
@@ -82,6 +85,7 @@
     }
     m_size -= record.remaining;
     m_jobs.erase(it);
+    updateHead(withdrawn.team);
     return withdrawn;
 }
 
@@ -152,6 +156,7 @@
 {
     if (m_teams.size() <= job.team.value()) {
         m_teams.resize(job.team.value() + 1);
+        m_headOfTeam.resize(m_teams.size());
     }
     for (const Lane &it : job.lanes) {
         if (it.first < it.tasks.size()) {
@@ -178,6 +183,27 @@
     }
 }
 
+void TaskQueue::updateHead(TeamIndex team)
+{
+    std::optional<JobOrderKey> head;
+    for (const auto &[fit, jobs] : m_teams[team.value()]) {
+        if (!head || *jobs.begin() < *head) {
+            head = *jobs.begin();
+        }
+    }
+    std::optional<JobOrderKey> &known = m_headOfTeam[team.value()];
+    if (head == known) {
+        return;
+    }
+    if (known) {
+        m_heads.erase({*known, team});
+    }
+    if (head) {
+        m_heads.emplace(*head, team);
+    }
+    known = head;
+}
+
 void TaskQueue::count(Job &job, const QueuedTask &task)
 {
     ++job.remaining;
@@ -202,11 +228,13 @@
     job.work -= task.estimate;
     --m_size;
     m_bytes -= task.payloadBytes;
+    const TeamIndex team = job.team;
     if (job.remaining == 0) {
         m_jobs.erase(it);
     } else {
         file(handle, job);
     }
+    updateHead(team);
     return task;
 }
 
--- a/src/rattandock/core/upstream_table.cpp
+++ b/src/rattandock/core/upstream_table.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-/// Weight of a new sample once enough are known. Estimates are off by up to three times; at 0.1
-/// the mean is then off by about 15% (standard deviation).
-constexpr double sampleWeight = 0.1;
+/// Weight of a new sample once enough are known. With estimates off by up to three times, mean
+/// response over ideal was 1.675 at 0.2, 1.635 at 0.1 and 1.614 at 0.05; 0.03 raised p99
+/// (placement_comparison_bench).
+constexpr double sampleWeight = 0.05;
 /// A sample moves the mean as if it were at most this factor away, so that one straggler or one
 /// wrong estimate does not reverse what many tasks have shown.
 constexpr double outlierFactor = 4.0;
--- a/src/rattandock/core/upstream_table_test.cpp
+++ b/src/rattandock/core/upstream_table_test.cpp
@@ -170,15 +170,18 @@
         UpstreamSpec &it = specs.emplace_back();
         it.id = UpstreamId{std::to_string(n)};
         it.capacity.cores = Cores{n + 1};
+        it.capacity.memory = Megabytes{1000 - n};
     }
     table.configure(specs);
+    BOOST_TEST(table.fitOf({Cores{64}, Megabytes{901}, {}}) != 0);
     for (std::uint32_t cores = 1; cores <= 64; ++cores) {
-        const FitMask fit = table.fitOf({Cores{cores}, {}, {}});
-        BOOST_TEST(fit != 0);
+        const Megabytes memory{905};
+        const FitMask fit = table.fitOf({Cores{cores}, memory, {}});
         for (int n = 0; n < 100; ++n) {
             const auto &upstream = table.at(index(n));
             if ((fit >> upstream.slotClass.shape & 1U) != 0) {
                 BOOST_TEST(upstream.spec.capacity.cores >= Cores{cores});
+                BOOST_TEST(upstream.spec.capacity.memory >= memory);
             }
         }
     }
