Report stranded jobs and blame upstreams that hang

A queued job whose last fitting upstream left was held until its deadline; strandedJobs() names such jobs, so that the dispatcher can give them up at once. An upstream that hangs was never ejected, since its jobs are given up before their attempts end: a stopped attempt that ran eight times longer than expected now counts as a failure.

--- a/include/rattandock/core/scheduler.hpp
+++ b/include/rattandock/core/scheduler.hpp
@@ -57,6 +57,11 @@
     /// Removes the job's queued tasks; running ones keep their slots until they end.
     void withdraw(JobHandle job);
 
+    /// Jobs with a queued task that no upstream can run any more, since all that fit it left or
+    /// were configured away. To be given up at once after configure() and seeUpstream(), which
+    /// are the only causes; they would wait until their deadline. Visits all queued jobs.
+    std::vector<JobHandle> strandedJobs() const;
+
     /// Appends the starts that are due now and takes their slots.
     void dispatch(TimePoint now, std::vector<PlacedTask> &placed);
 
--- a/include/rattandock/core/task_queue.hpp
+++ b/include/rattandock/core/task_queue.hpp
@@ -86,6 +86,11 @@
     /// Unstarted tasks of the job, ready or delayed.
     std::uint32_t remaining(JobHandle job) const;
 
+    /// Jobs with an unstarted task whose fit the predicate accepts, in order of their handles.
+    /// Visits all jobs.
+    template <typename Predicate>
+    std::vector<JobHandle> jobsWithFit(Predicate accepts) const;
+
     /// Calls function(QueuedTask &) on each task and files it by its new fit; visits all tasks.
     template <typename Function>
     void refit(Function function);
@@ -149,4 +154,23 @@
     }
 }
 
+template <typename Predicate>
+std::vector<JobHandle> TaskQueue::jobsWithFit(Predicate accepts) const
+{
+    std::set<JobHandle> found;
+    for (const auto &[handle, job] : m_jobs) {
+        for (const Lane &it : job.lanes) {
+            if (it.first < it.tasks.size() && accepts(it.fit)) {
+                found.insert(handle);
+            }
+        }
+    }
+    for (const auto &[key, task] : m_delayed) {
+        if (accepts(task.fit)) {
+            found.insert(key.second.job);
+        }
+    }
+    return {found.begin(), found.end()};
+}
+
 } // namespace rattandock::core
--- a/include/rattandock/core/upstream_table.hpp
+++ b/include/rattandock/core/upstream_table.hpp
@@ -61,6 +61,8 @@
     FitMask fitOf(const Resources &needs) const;
     /// Whether an upstream that may get work has one of these shapes.
     bool canRun(FitMask fit) const;
+    /// As above, but counts ejected upstreams, which come back. Visits all upstreams.
+    bool mayEverRun(FitMask fit) const;
     bool empty() const { return m_configured == 0; }
 
     /// Cost factor that placement reckons with.
--- a/src/rattandock/core/scheduler.cpp
+++ b/src/rattandock/core/scheduler.cpp
@@ -4,30 +4,21 @@
 #include <array>
 #include <cassert>
 
-#include "rattandock/base/overloaded.hpp"
-
 namespace rattandock::core {
 
 namespace {
 
-/// Tasks wait for faster slots only while the queue is shorter than this part of the slots. With a
-/// longer queue others take those slots first: waits then left slots idle and raised p99 of
-/// response over ideal from 4.5 to 15.5 (placement_comparison_bench).
-constexpr double waitingQueuePart = 0.03;
-/// Bounds the tasks that are passed over in one round.
-constexpr std::uint32_t maxWaits = 64;
-/// With a longer queue, upstreams beyond this factor of the mean cost take a job's shortest task.
-constexpr double slowFactor = 1.5;
 /// A job goes before the virtual time of teams in this last part of its time. Shares are kept by
 /// admission. Without it, 48 to 149 of about 2,300 admitted jobs ended late at twice the capacity.
 constexpr double urgentPart = 0.5;
-/// Bounds the search for urgent jobs.
-constexpr std::size_t maxUrgentHeads = 4;
 /// Weight of a completed task in the estimate of tasks that declare none.
 constexpr double typicalEstimateWeight = 0.02;
 /// Part of their expected time that running tasks need yet: half on average, and more since long
 /// tasks are found running more often.
 constexpr double runningPart = 0.6;
+/// A stopped attempt that ran this many times longer than expected counts against its upstream:
+/// the job was given up since the upstream hangs, and no other result will ever tell.
+constexpr double hangingFactor = 8.0;
 /// Time to come back when there is no upstream at all.
 constexpr Duration noUpstreamsRetryAfter = std::chrono::milliseconds{1000};
 
@@ -134,157 +125,9 @@
     }
 }
 
-void Scheduler::dispatch(TimePoint now, std::vector<PlacedTask> &placed)
-{
-    std::vector<TeamIndex> released;
-    m_queue.release(now, released);
-    for (const TeamIndex it : released) {
-        m_shares.setWaiting(it, true);
-    }
-    m_upstreams.release(now);
-    m_recheck.reset();
-    Round round{now, placed, {}, 0};
-    do {
-        round.waits = 0;
-        m_placement.beginRound();
-    } while (startNext(round));
-}
-
-bool Scheduler::startNext(Round &round)
-{
-    if (m_upstreams.slots().freeCount() == 0 && m_upstreams.probesDue().empty()) {
-        return false;
-    }
-    if (startUrgent(round)) {
-        return true;
-    }
-    const auto start = [&](const auto &entry) {
-        return round.waits < maxWaits && startFromTeam(round, entry.second);
-    };
-    return std::ranges::any_of(m_shares.belowQuota(), start)
-           || std::ranges::any_of(m_shares.atQuota(), start);
-}
-
-bool Scheduler::startUrgent(Round &round)
+std::vector<JobHandle> Scheduler::strandedJobs() const
 {
-    std::size_t looked = 0;
-    for (const auto &[head, team] : m_queue.heads()) {
-        if (++looked > maxUrgentHeads) {
-            break;
-        }
-        if (m_jobs.at(head.job).urgentFrom <= round.now && m_shares.isBelowQuota(team)
-            && startFromTeam(round, team)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-bool Scheduler::startFromTeam(Round &round, TeamIndex team)
-{
-    const TaskQueue::Lanes &lanes = m_queue.lanes(team);
-    std::vector<std::pair<JobOrderKey, FitMask>> order;
-    for (const auto &[fit, jobs] : lanes) {
-        order.emplace_back(*jobs.begin(), fit);
-    }
-    std::ranges::sort(order);
-    for (const auto &[first, fit] : order) {
-        if (std::ranges::find(round.blocked, fit) != round.blocked.end()) {
-            continue;
-        }
-        for (const JobOrderKey &key : lanes.at(fit)) {
-            const Outcome outcome = startFromJob(round, key.job, fit);
-            if (outcome == Outcome::Started) {
-                // The lane may be gone now.
-                return true;
-            }
-            if (outcome == Outcome::NoSlot) {
-                round.blocked.push_back(fit);
-                break;
-            }
-            if (++round.waits >= maxWaits) {
-                return false;
-            }
-        }
-    }
-    return false;
-}
-
-Scheduler::Outcome Scheduler::startFromJob(Round &round, JobHandle job, FitMask fit)
-{
-    if (const auto probe = probeFor(fit)) {
-        start(round, job, m_queue.takeShortest(job, fit), {*probe, "probe"});
-        return Outcome::Started;
-    }
-    PlacementRequest request;
-    request.fit = fit;
-    request.lastOfJob = m_queue.remaining(job) == 1;
-    request.mayWait = static_cast<double>(m_queue.size())
-                      <= std::max(1.0, waitingQueuePart * m_upstreams.usableSlots());
-    request.jobRacks = m_jobs.at(job).racks;
-    request.now = round.now;
-    request.estimate = m_queue.longest(job, fit).estimate;
-    PlacementDecision decision = m_placement.choose(m_upstreams, request);
-    if (std::holds_alternative<NoFreeSlot>(decision)) {
-        return Outcome::NoSlot;
-    }
-    if (const auto *choice = std::get_if<PlacementChoice>(&decision)) {
-        if (m_options.placement == PlacementPolicyKind::SpeedAware && !request.mayWait
-            && m_upstreams.cost(choice->upstream) > slowFactor * m_upstreams.meanCost()) {
-            start(round, job, m_queue.takeShortest(job, fit),
-                  {choice->upstream, "slow-for-shortest"});
-        } else {
-            start(round, job, m_queue.takeLongest(job, fit), *choice);
-        }
-        return Outcome::Started;
-    }
-    const TimePoint until = std::get<WaitForSlot>(decision).until;
-    m_recheck = std::min(m_recheck.value_or(until), until);
-    const QueuedTask &shortest = m_queue.shortest(job, fit);
-    if (shortest.task == m_queue.longest(job, fit).task) {
-        return Outcome::Waits;
-    }
-    request.estimate = shortest.estimate;
-    decision = m_placement.choose(m_upstreams, request);
-    if (const auto *choice = std::get_if<PlacementChoice>(&decision)) {
-        start(round, job, m_queue.takeShortest(job, fit), *choice);
-        return Outcome::Started;
-    }
-    return Outcome::Waits;
-}
-
-std::optional<UpstreamIndex> Scheduler::probeFor(FitMask fit) const
-{
-    for (const UpstreamIndex it : m_upstreams.probesDue()) {
-        if ((fit >> m_upstreams.at(it).slotClass.shape & 1U) != 0) {
-            return it;
-        }
-    }
-    return std::nullopt;
-}
-
-void Scheduler::start(Round &round, JobHandle handle, const QueuedTask &task,
-                      const PlacementChoice &choice)
-{
-    Job &job = m_jobs.at(handle);
-    const UpstreamTable::Upstream &upstream = m_upstreams.at(choice.upstream);
-    const std::uint32_t rack = upstream.rack;
-    const SlotLease lease = m_upstreams.start(choice.upstream, task.estimate, round.now);
-    job.running.push_back({task.task, lease, rack, task.estimate, task.estimateKnown});
-    if (job.racks.size() <= rack) {
-        job.racks.resize(m_upstreams.rackCount());
-    }
-    ++job.racks[rack];
-    ++m_running;
-    m_expectedTimes += lease.expectedEnd - lease.started;
-    m_admission.remove(job.team, job.deadline, task.estimate);
-    m_shares.setWaiting(job.team, m_queue.hasReady(job.team));
-    m_shares.started(job.team, lease.expectedEnd - lease.started);
-    if (std::ranges::find(job.resends, task.task, [](const auto &it) { return it.first; })
-        == job.resends.end()) {
-        m_retries.taskStarted();
-    }
-    round.placed.push_back({{handle, task.task}, upstream.spec.id, choice.reason});
+    return m_queue.jobsWithFit([this](FitMask fit) { return !m_upstreams.mayEverRun(fit); });
 }
 
 void Scheduler::attemptEnded(const TaskRef &task, const UpstreamId & /*upstream*/,
@@ -323,7 +166,10 @@
         }
         const Duration atSpeedOne = scaled(elapsed, 1.0 / m_upstreams.cost(upstream));
         m_typicalEstimate += scaled(atSpeedOne - m_typicalEstimate, typicalEstimateWeight);
-    } else if (!withdrawn && blamesUpstream(result)) {
+    } else if (blamesUpstream(result)
+               && (!withdrawn
+                   || elapsed > scaled(running.lease.expectedEnd - running.lease.started,
+                                       hangingFactor))) {
         change = m_upstreams.failed(upstream, job, now);
     } else {
         m_upstreams.endedWithoutVerdict(upstream);
--- a/src/rattandock/core/upstream_table.cpp
+++ b/src/rattandock/core/upstream_table.cpp
@@ -107,6 +107,16 @@
     return false;
 }
 
+bool UpstreamTable::mayEverRun(FitMask fit) const
+{
+    for (std::uint32_t n = 0; n < m_upstreams.size(); ++n) {
+        if (mayGetWork(UpstreamIndex{n}) && (fit >> m_upstreams[n].slotClass.shape & 1U) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 double UpstreamTable::cost(UpstreamIndex index) const
 {
     const Upstream &upstream = at(index);
