--- a/src/rattandock/adapters/log.cpp
+++ b/src/rattandock/adapters/log.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+std::atomic<LogLevel> lowestLevel = LogLevel::Info;
+
 const log4cxx::LoggerPtr &logger()
 {
     static const log4cxx::LoggerPtr it = log4cxx::Logger::getLogger("rattandock");
