Answer every bad request with the field or limit, and bound its cost

Cause: a table of 52 bad inputs against the daemon showed that - a request that was not complete in time got no 408, because the timeout of beast::tcp_stream closes the socket; - a truncated request got no answer; - a key that appears twice was accepted, the last value winning; - bad percent escapes were looked up as job ids; - a body with many faults got an answer larger than itself; - an upstream result that is not UTF-8 made the answer invalid JSON; - stop() waited for half-sent requests and for running jobs; - Expect: 100-continue was not answered, so such senders timed out; - a submission right after the start could meet a core without upstreams (503 no-upstreams), since the event queue keeps no order between threads. Change: a one-pass strict JSON parser with bounds on depth and values, at most 20 findings in an answer, a read timer that cancels only the read, limits named in the messages, results that are not UTF-8 as {"base64": ...}, Allow on 405. stop() ends incomplete requests, and answers callers of unfinished jobs unknown (home-lost). The daemon listens once the configuration is in force.

--- a/include/rattandock/adapters/http_message.hpp
+++ b/include/rattandock/adapters/http_message.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -32,6 +34,8 @@
 
 /// Decodes %XX. Bad escapes stay as they are.
 std::string percentDecode(std::string_view text);
+/// Decodes %XX. Nothing if an escape is bad or the decoded text is not UTF-8.
+std::optional<std::string> percentDecodeStrictly(std::string_view text);
 /// Encodes all but unreserved characters.
 std::string percentEncode(std::string_view text);
 
--- a/include/rattandock/adapters/http_server.hpp
+++ b/include/rattandock/adapters/http_server.hpp
@@ -26,8 +26,9 @@
 /// Serves one request; runs on a fiber of the connection and may suspend it.
 using HttpHandler = std::function<HttpResponse(const HttpRequest &request)>;
 
-/// Told of each request that was refused before its handler: `malformed`, `header-too-large`,
-/// `body-too-large`, `slow-sender`, `too-many-connections`. Called from any I/O thread.
+/// Told of each request that was refused before its handler: `malformed`, `truncated`,
+/// `header-too-large`, `body-too-large`, `slow-sender`, `too-many-connections`. Called from any
+/// I/O thread.
 using BadRequestObserver = std::function<void(std::string_view reason)>;
 
 /// HTTP/1.1 server with keep-alive on all threads of an IoThreads.
@@ -48,7 +49,14 @@
     /// The bound port, also when port 0 was asked for.
     std::uint16_t port() const;
 
-    /// Accepts no more and closes idle connections; returns when the last request is answered.
+    std::size_t connections() const;
+
+    /// From now on each answer says `Connection: close` and ends its connection.
+    void closeAfterAnswers();
+
+    /// Accepts no more and closes connections without a complete request; returns when the last
+    /// complete request is answered, or its caller has not taken the answer for the request
+    /// timeout.
     void stop();
 
 private:
--- a/include/rattandock/app/answer_board.hpp
+++ b/include/rattandock/app/answer_board.hpp
@@ -25,12 +25,17 @@
 
     void answer(core::AnswerCaller answer) override;
 
+    /// Answers every waiting request, and each that opens later, `unknown`: the process ends, and
+    /// their tasks may run. Thread safety: from outside the I/O threads.
+    void answerAllUnknown();
+
 private:
     using Promise = boost::fibers::promise<core::JobOutcome>;
 
     struct Table
     {
         std::uint64_t next = 1;
+        bool closed = false;
         std::unordered_map<CallerRequestId, Promise> waiting;
     };
 
--- a/include/rattandock/app/decision_loop.hpp
+++ b/include/rattandock/app/decision_loop.hpp
@@ -43,6 +43,10 @@
     void post(core::Event event) override;
     /// Runs the question between two events. It is dropped after stop().
     void ask(Question question);
+    /// Blocks until the events that the calling thread has posted are handled. The queue keeps
+    /// the order of each thread only, not the order between threads.
+    /// Precondition: the loop runs, and the caller is none of its threads and no I/O thread.
+    void waitForPosted();
 
     /// True once the planned stop is done.
     bool isStopped() const { return m_stopped; }
--- a/src/rattandock/adapters/http_message.cpp
+++ b/src/rattandock/adapters/http_message.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include "rattandock/adapters/json_parse.hpp"
+
 namespace rattandock::adapters {
 
 namespace {
@@ -54,6 +56,23 @@
     return decoded;
 }
 
+std::optional<std::string> percentDecodeStrictly(std::string_view text)
+{
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const bool isBad =
+                text[n] == '%'
+                && (n + 2 >= text.size() || hexDigit(text[n + 1]) < 0 || hexDigit(text[n + 2]) < 0);
+        if (isBad) {
+            return std::nullopt;
+        }
+    }
+    std::string decoded = percentDecode(text);
+    if (!isUtf8(decoded)) {
+        return std::nullopt;
+    }
+    return decoded;
+}
+
 std::string percentEncode(std::string_view text)
 {
     static constexpr std::string_view digits = "0123456789ABCDEF";
--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -57,27 +57,71 @@
 {
     unsigned status;
     std::string_view reason;
-    std::string_view message;
+    std::string message;
 };
 
-std::optional<ReadRefusal> refusalFor(const beast::error_code &ec)
+/// Nothing if the connection is gone, so that no answer can be given.
+std::optional<ReadRefusal> refusalFor(const beast::error_code &ec, const HttpServerLimits &limits)
 {
     if (ec == http::error::body_limit) {
-        return ReadRefusal{413, "body-too-large", "the body is larger than the limit"};
+        return ReadRefusal{413, "body-too-large",
+                           "the body is larger than " + std::to_string(limits.maxBodyBytes)
+                                   + " bytes"};
     }
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-        return ReadRefusal{431, "header-too-large", "the headers are larger than the limit"};
+        return ReadRefusal{431, "header-too-large",
+                           "the headers are larger than " + std::to_string(limits.maxHeaderBytes)
+                                   + " bytes"};
     }
     if (ec == beast::error::timeout) {
-        return ReadRefusal{408, "slow-sender", "the request was not complete in time"};
+        return ReadRefusal{408, "slow-sender",
+                           "the request was not complete after "
+                                   + std::to_string(toMilliseconds(limits.requestTimeout)) + " ms"};
     }
-    if (ec == http::error::end_of_stream || ec == http::error::partial_message
+    if (ec == http::error::partial_message) {
+        return ReadRefusal{400, "truncated", "the request ended before its last byte"};
+    }
+    if (ec == http::error::end_of_stream
         || ec.category() != http::make_error_code(http::error::bad_method).category()) {
         return std::nullopt;
     }
-    return ReadRefusal{400, "malformed", "the request is not valid HTTP/1.1"};
+    return ReadRefusal{400, "malformed", "the request is not valid HTTP/1.1: " + ec.message()};
 }
 
+/// Ends a read after a time. The timeout of beast::tcp_stream closes the socket, so that no answer
+/// could follow; this one only cancels the read. Used on one thread.
+struct ReadTimer : std::enable_shared_from_this<ReadTimer>
+{
+    ReadTimer(asio::io_context &io, beast::tcp_stream &of)
+        : timer(io)
+        , stream(&of)
+    {
+    }
+
+    void arm(Duration after)
+    {
+        timer.expires_after(after);
+        timer.async_wait([self = shared_from_this()](const beast::error_code &ec) {
+            if (ec || self->stream == nullptr) {
+                return;
+            }
+            self->expired = true;
+            self->stream->cancel();
+            // A read that had just ended is followed by another one, which is cancelled then.
+            self->arm(std::chrono::milliseconds{10});
+        });
+    }
+    void disarm()
+    {
+        stream = nullptr;
+        timer.cancel();
+    }
+
+    asio::steady_timer timer;
+    beast::tcp_stream *stream;
+    bool expired = false;
+};
+
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
@@ -85,7 +129,8 @@
     /// One per I/O thread; touched by that thread only.
     struct Connections
     {
-        std::list<beast::tcp_stream *> idle;
+        /// Connections whose request is not complete; stop() closes them.
+        std::list<beast::tcp_stream *> reading;
     };
 
     State(IoThreads &owner, HttpServerLimits bounds, HttpHandler serve, BadRequestObserver observe)
@@ -105,13 +150,17 @@
     tcp::acceptor acceptor;
     std::vector<Connections> perThread;
     std::atomic<std::size_t> open = 0;
+    /// Each answer ends its connection.
+    std::atomic<bool> closing = false;
     std::atomic<bool> stopping = false;
 
     void acceptLoop();
     void serve(std::size_t thread, tcp::socket socket);
     void serveRequests(std::size_t thread, beast::tcp_stream &stream);
     bool waitForRequest(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf);
-    bool serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf);
+    bool serveOne(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf);
+    IoEnd readRequest(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf,
+                      http::request_parser<http::string_body> &parser);
     void refuse(beast::tcp_stream &stream, const ReadRefusal &refusal);
 };
 
@@ -167,7 +216,7 @@
         if (buf.size() == 0 && !waitForRequest(thread, stream, buf)) {
             return;
         }
-        if (!serveOne(stream, buf)) {
+        if (!serveOne(thread, stream, buf)) {
             return;
         }
     }
@@ -177,12 +226,12 @@
                                        beast::flat_buffer &buf)
 {
     constexpr std::size_t firstRead = 4096;
-    auto &idle = perThread[thread].idle;
-    const auto it = idle.insert(idle.end(), &stream);
+    auto &reading = perThread[thread].reading;
+    const auto it = reading.insert(reading.end(), &stream);
     stream.expires_after(limits.idleTimeout);
     const IoEnd end =
             awaitIo([&](auto handle) { stream.async_read_some(buf.prepare(firstRead), handle); });
-    idle.erase(it);
+    reading.erase(it);
     if (end.ec) {
         return false;
     }
@@ -190,23 +239,57 @@
     return true;
 }
 
-bool HttpServer::State::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf)
+IoEnd HttpServer::State::readRequest(std::size_t thread, beast::tcp_stream &stream,
+                                     beast::flat_buffer &buf,
+                                     http::request_parser<http::string_body> &parser)
+{
+    auto &reading = perThread[thread].reading;
+    const auto it = reading.insert(reading.end(), &stream);
+    const auto timer = std::make_shared<ReadTimer>(threads.io(thread), stream);
+    stream.expires_never();
+    timer->arm(limits.requestTimeout);
+    IoEnd end = awaitIo([&](auto handle) { http::async_read_header(stream, buf, parser, handle); });
+    if (!end.ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        end = awaitIo(
+                [&](auto handle) { asio::async_write(stream, asio::buffer(interim), handle); });
+    }
+    if (!end.ec) {
+        end = awaitIo([&](auto handle) { http::async_read(stream, buf, parser, handle); });
+    }
+    timer->disarm();
+    reading.erase(it);
+    if (end.ec && timer->expired) {
+        end.ec = beast::error::timeout;
+    }
+    return end;
+}
+
+bool HttpServer::State::serveOne(std::size_t thread, beast::tcp_stream &stream,
+                                 beast::flat_buffer &buf)
 {
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
-    stream.expires_after(limits.requestTimeout);
-    const IoEnd read = awaitIo([&](auto handle) { http::async_read(stream, buf, parser, handle); });
+    const IoEnd read = readRequest(thread, stream, buf, parser);
     if (read.ec) {
-        if (const auto refusal = refusalFor(read.ec)) {
+        if (stopping) {
+            return false;
+        }
+        if (const auto refusal = refusalFor(read.ec, limits)) {
             refuse(stream, *refusal);
         }
         return false;
     }
     const bool keepAlive = parser.get().keep_alive();
+    const bool isHead = parser.get().method() == http::verb::head;
     stream.expires_never();
     HttpResponse served = handler(toRequest(parser.release()));
-    BeastResponse response = toBeast(std::move(served), keepAlive && !stopping);
+    if (isHead) {
+        // An answer to HEAD has no body; without this the next answer would be misread.
+        served.body.clear();
+    }
+    BeastResponse response = toBeast(std::move(served), keepAlive && !closing && !stopping);
     stream.expires_after(limits.requestTimeout);
     const IoEnd written =
             awaitIo([&](auto handle) { http::async_write(stream, response, handle); });
@@ -219,7 +302,7 @@
     HttpResponse answer;
     answer.status = refusal.status;
     answer.body = std::string{R"({"error":")"} + std::string{refusal.reason} + R"(","message":")"
-                  + std::string{refusal.message} + "\"}\n";
+                  + refusal.message + "\"}\n";
     BeastResponse response = toBeast(std::move(answer), false);
     stream.expires_after(limits.requestTimeout);
     awaitIo([&](auto handle) { http::async_write(stream, response, handle); });
@@ -274,6 +357,16 @@
     return m_state->acceptor.local_endpoint().port();
 }
 
+std::size_t HttpServer::connections() const
+{
+    return m_state->open;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_state->closing = true;
+}
+
 void HttpServer::stop()
 {
     m_state->stopping = true;
@@ -284,8 +377,9 @@
             if (n == 0) {
                 state->acceptor.close(ec);
             }
-            for (beast::tcp_stream *it : state->perThread[n].idle) {
-                it->cancel();
+            for (beast::tcp_stream *it : state->perThread[n].reading) {
+                // Unlike a cancellation, this also ends reads that begin later.
+                it->socket().shutdown(tcp::socket::shutdown_receive, ec);
             }
             closed.set_value();
         });
--- a/src/rattandock/adapters/job_json.cpp
+++ b/src/rattandock/adapters/job_json.cpp
@@ -1,9 +1,10 @@
 #include "rattandock/adapters/job_json.hpp"
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "rattandock/adapters/base64.hpp"
 #include "rattandock/adapters/json_object_reader.hpp"
+#include "rattandock/adapters/json_parse.hpp"
 #include "rattandock/base/overloaded.hpp"
 
 namespace rattandock::adapters {
@@ -15,7 +16,10 @@
 
 constexpr std::size_t maxIdBytes = 300;
 constexpr std::size_t maxNameBytes = 64;
-constexpr std::size_t maxJsonDepth = 8;
+/// A task has six keys; the rest is room for keys that are reported as unknown.
+constexpr std::size_t valuesPerTask = 16;
+/// More findings than this help no caller and would make the answer large.
+constexpr std::size_t maxShownFindings = 20;
 constexpr std::int64_t maxCores = 4096;
 constexpr std::int64_t maxMegabytes = 16'777'216;
 constexpr std::int64_t maxAccelerators = 64;
@@ -45,6 +49,15 @@
     return array;
 }
 
+/// A string, or for bytes that are not UTF-8 an object with their base64 form.
+json::value resultValue(const std::string &result)
+{
+    if (isUtf8(result)) {
+        return json::string{result};
+    }
+    return json::object{{"base64", toBase64(result)}};
+}
+
 json::object outcomeObject(const JobId &id, const JobOutcome &outcome)
 {
     json::object object;
@@ -61,12 +74,13 @@
 Checked<JobSpec> parseJob(std::string_view body, const JobLimits &limits)
 {
     Findings findings;
-    json::parse_options options;
-    options.max_depth = maxJsonDepth;
-    json::error_code ec;
-    const json::value value = json::parse(body, ec, {}, options);
-    if (ec || !value.is_object()) {
-        findings.add("$", ec ? "is not valid JSON: " + ec.message() : "must be an object");
+    auto parsed = parseJson(body, {8, 64 + valuesPerTask * limits.maxTasks});
+    if (!parsed) {
+        return parsed.error();
+    }
+    const json::value &value = parsed.value();
+    if (!value.is_object()) {
+        findings.add("$", "must be an object");
         return findings;
     }
     JsonObjectReader reader{value.get_object(), "$", findings};
@@ -94,7 +108,7 @@
             Overloaded{[&](const Complete &it) {
                            json::array &results = object["results"].emplace_array();
                            for (const std::string &result : it.results) {
-                               results.emplace_back(result);
+                               results.push_back(resultValue(result));
                            }
                        },
                        [&](const Failed &it) { object["startedTasks"] = toJson(it.startedTasks); },
@@ -128,10 +142,15 @@
 {
     json::object object;
     object["error"] = error;
-    json::array &array = object["findings"].emplace_array();
+    json::array array;
     for (const Finding &it : findings.items()) {
+        if (array.size() == maxShownFindings) {
+            object["findingsOmitted"] = findings.items().size() - maxShownFindings;
+            break;
+        }
         array.push_back(json::object{{"place", it.place}, {"message", it.message}});
     }
+    object["findings"] = std::move(array);
     return json::serialize(object) + '\n';
 }
 
--- a/src/rattandock/adapters/json_object_reader.cpp
+++ b/src/rattandock/adapters/json_object_reader.cpp
@@ -3,10 +3,14 @@
 #include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
 
+#include "rattandock/adapters/json_parse.hpp"
+
 namespace rattandock::adapters {
 
 namespace {
 
+constexpr std::size_t maxShownKeyBytes = 64;
+
 std::string range(auto min, auto max)
 {
     return "from " + std::to_string(min) + " to " + std::to_string(max);
@@ -148,7 +152,7 @@
 {
     for (const auto &it : m_object) {
         if (!m_known.contains(std::string_view{it.key()})) {
-            report(it.key(), "is not a known key");
+            report(shortened(it.key(), maxShownKeyBytes), "is not a known key");
         }
     }
 }
--- a/src/rattandock/app/caller_api.cpp
+++ b/src/rattandock/app/caller_api.cpp
@@ -15,13 +15,14 @@
 constexpr std::string_view jobsPath = "/v1/jobs";
 constexpr std::string_view tokensPath = "/v1/tokens";
 
-std::optional<JobId> jobOf(const std::string &path)
+/// The part of the path after `/v1/jobs/`, still encoded.
+std::optional<std::string> encodedJobOf(const std::string &path)
 {
     const std::string prefix = std::string{jobsPath} + '/';
     if (!path.starts_with(prefix) || path.size() == prefix.size()) {
         return std::nullopt;
     }
-    return JobId{adapters::percentDecode(path.substr(prefix.size()))};
+    return path.substr(prefix.size());
 }
 
 } // namespace
@@ -52,23 +53,28 @@
 {
     const bool isJobs = request.path == jobsPath;
     const bool isTokens = request.path == tokensPath;
-    const auto job = jobOf(request.path);
+    const auto encodedJob = encodedJobOf(request.path);
+    Findings findings;
     if (isJobs && request.method == "POST") {
         return submit(request);
     }
     if (isTokens && request.method == "POST") {
         return issueToken();
     }
-    if (job && request.method == "GET") {
-        return show(*job);
-    }
-    if (job && request.method == "DELETE") {
-        return cancel(*job);
+    if (encodedJob && (request.method == "GET" || request.method == "DELETE")) {
+        const auto job = adapters::percentDecodeStrictly(*encodedJob);
+        if (!job) {
+            findings.add("id", "must be UTF-8 with valid percent escapes");
+            return refuse(400, "bad-escape", findings);
+        }
+        return request.method == "GET" ? show(JobId{*job}) : cancel(JobId{*job});
     }
-    Findings findings;
-    if (isJobs || isTokens || job) {
-        findings.add("method", request.method + " is not allowed here");
-        return refuse(405, "method-not-allowed", findings);
+    if (isJobs || isTokens || encodedJob) {
+        const std::string allowed = encodedJob ? "GET, DELETE" : "POST";
+        findings.add("method", "must be one of " + allowed);
+        HttpResponse response = refuse(405, "method-not-allowed", findings);
+        response.headers.emplace_back("Allow", allowed);
+        return response;
     }
     findings.add("path", "is not a known route");
     return refuse(404, "unknown-route", findings);
--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -102,6 +102,7 @@
     Parts &it = *parts;
     it.loop.start({it.upstreams, it.answers, it.peers, it.history});
     it.loop.post(configurationOf(it.settings));
+    it.loop.waitForPosted();
     const auto badRequest = [&it](std::string_view reason) {
         it.metrics.count("bad_requests", reason);
     };
@@ -173,6 +174,7 @@
     if (std::exchange(m_parts->isStopped, true)) {
         return;
     }
+    m_parts->answers.answerAllUnknown();
     for (auto *server : {&m_parts->callerServer, &m_parts->operatorServer}) {
         if (*server) {
             (*server)->stop();
--- a/src/rattandock/app/decision_loop.cpp
+++ b/src/rattandock/app/decision_loop.cpp
@@ -1,5 +1,7 @@
 #include "rattandock/app/decision_loop.hpp"
 
+#include <future>
+
 #include "rattandock/base/overloaded.hpp"
 
 namespace rattandock::app {
@@ -47,6 +49,13 @@
     m_queue.enqueue(std::move(question));
 }
 
+void DecisionLoop::waitForPosted()
+{
+    std::promise<void> handled;
+    ask([&handled](core::Dispatcher &, TimePoint) { handled.set_value(); });
+    handled.get_future().wait();
+}
+
 void DecisionLoop::run()
 {
     core::Actions actions;
