Add the commands of rattandockctl

Cause: the program had no commands. Bash completion is in completions/. Conclusion: a session can be scripted without writing HTTP by hand.

--- a/cmake/layer.cmake
+++ b/cmake/layer.cmake
@@ -15,7 +15,7 @@
     endif()
     add_executable(rattandock-${NAME}-test ${tests} ${CMAKE_SOURCE_DIR}/src/test_main.cpp)
     target_compile_definitions(rattandock-${NAME}-test PRIVATE BOOST_TEST_DYN_LINK
-        RATTANDOCK_TEST_MODULE="${NAME}")
+        RATTANDOCK_TEST_MODULE="${NAME}" RATTANDOCK_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(rattandock-${NAME}-test PRIVATE rattandock-${NAME}
         Boost::unit_test_framework rapidcheck ${ARG_TEST_DEPENDS})
     add_test(NAME ${NAME} COMMAND rattandock-${NAME}-test)
--- /dev/null
+++ b/completions/rattandockctl.bash
@@ -0,0 +1,23 @@
+# Completion of rattandockctl for bash: source this file.
+_rattandockctl() {
+  local word=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD-1]} command=${COMP_WORDS[1]}
+  local commands="submit status job explain cancel drain token"
+  local options="--caller --operator --timeout-ms --json --help"
+  COMPREPLY=()
+  if [ "$COMP_CWORD" -eq 1 ]; then
+    mapfile -t COMPREPLY < <(compgen -W "$commands --help --version" -- "$word")
+    return
+  fi
+  case $previous in
+    -f | --file)
+      mapfile -t COMPREPLY < <(compgen -f -- "$word")
+      return
+      ;;
+    --caller | --operator | --timeout-ms | --key | --id) return ;;
+  esac
+  if [ "$command" = submit ]; then
+    options="$options --file --key --id"
+  fi
+  mapfile -t COMPREPLY < <(compgen -W "$options" -- "$word")
+}
+complete -F _rattandockctl rattandockctl
--- /dev/null
+++ b/include/rattandock/app/control.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <ostream>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rattandock::app {
+
+/// One command of `rattandockctl`.
+struct ControlCommand
+{
+    std::string_view name;
+    std::string_view help;
+    /// Name of the one positional argument; empty if there is none.
+    std::string_view argument;
+};
+
+/// All commands, in the order of the help text.
+std::span<const ControlCommand> controlCommands();
+
+/// Runs `rattandockctl` with the given arguments (without the program's name).
+/// Returns the exit code: 0 success, 1 the operation failed or its job did not complete, 2 usage
+/// error or unreadable job file, 4 no answer from the daemon.
+int runControl(const std::vector<std::string> &arguments, std::string_view version,
+               std::ostream &out, std::ostream &err);
+
+} // namespace rattandock::app
--- a/src/rattandockctl/main.cpp
+++ b/src/rattandockctl/main.cpp
@@ -1,9 +1,9 @@
 #include <iostream>
 
-#include "rattandock/app/exit_code.hpp"
+#include "rattandock/app/control.hpp"
 
-int main()
+int main(int argc, char **argv)
 {
-    std::cerr << "rattandockctl " RATTANDOCK_VERSION ": no commands yet\n";
-    return rattandock::app::exitUsage;
+    return rattandock::app::runControl({argv + 1, argv + argc}, RATTANDOCK_VERSION, std::cout,
+                                       std::cerr);
 }
