Log without blocking and explain placements and waits

Cause: a log line was written by the thread that logs it, so a slow standard error stopped the decision thread; a job id with a line break forged log lines; explain scanned 20,000 entries on the decision thread and showed no waits.

--- a/include/rattandock/app/event_history.hpp
+++ b/include/rattandock/app/event_history.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "rattandock/adapters/metrics.hpp"
@@ -19,21 +21,43 @@
     std::string detail;
 };
 
-/// Counts and logs each decision and keeps the last ones for `explain`.
+/// How often a decision was taken for a reason since the start.
+struct DecisionCount
+{
+    core::NoteKind kind{};
+    std::string reason;
+    std::uint64_t count = 0;
+};
+
+/// Counts and logs each decision and keeps the last ones, indexed by job, for `explain`.
 /// Thread safety: the decision thread only.
 class EventHistory final : public ports::NoteSink
 {
 public:
-    explicit EventHistory(adapters::Metrics &metrics);
+    /// Keeps at most `maxEntries` decisions; the default is about 6 MB with typical ids.
+    explicit EventHistory(adapters::Metrics &metrics, std::size_t maxEntries = 20'000);
 
     void note(const core::Note &note, TimePoint now) override;
 
     /// The kept decisions about a job, oldest first.
     std::vector<HistoryEntry> about(const JobId &job) const;
 
+    /// Ordered by kind and reason.
+    std::vector<DecisionCount> counts() const;
+
+    std::size_t size() const { return m_entries.size(); }
+
 private:
+    void forgetOldest();
+
     adapters::Metrics &m_metrics;
+    const std::size_t m_maxEntries;
     std::deque<HistoryEntry> m_entries;
+    /// Number of the first entry in m_entries.
+    std::uint64_t m_firstNumber = 0;
+    /// Numbers of the kept entries of each job, oldest first.
+    std::unordered_map<JobId, std::deque<std::uint64_t>> m_numbersOf;
+    std::map<std::pair<core::NoteKind, std::string>, std::uint64_t, std::less<>> m_counts;
 };
 
 } // namespace rattandock::app
--- a/src/rattandock/app/event_history.cpp
+++ b/src/rattandock/app/event_history.cpp
@@ -1,6 +1,7 @@
 #include "rattandock/app/event_history.hpp"
 
 #include <algorithm>
+#include <array>
 
 #include "rattandock/adapters/log.hpp"
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-/// About 4 MB with typical ids.
-constexpr std::size_t maxEntries = 20'000;
-
 LogPart partOf(core::NoteKind kind)
 {
     switch (kind) {
@@ -50,18 +48,32 @@
     }
 }
 
+/// Name of the counter of a kind: its stable name with underscores.
+std::string_view counterOf(core::NoteKind kind)
+{
+    static const auto names = [] {
+        std::array<std::string, core::noteKindCount> all;
+        for (std::size_t n = 0; n < all.size(); ++n) {
+            all.at(n) = name(static_cast<core::NoteKind>(n));
+            std::ranges::replace(all.at(n), '-', '_');
+        }
+        return all;
+    }();
+    return names.at(static_cast<std::size_t>(kind));
+}
+
 } // namespace
 
-EventHistory::EventHistory(adapters::Metrics &metrics)
+EventHistory::EventHistory(adapters::Metrics &metrics, std::size_t maxEntries)
     : m_metrics(metrics)
+    , m_maxEntries(maxEntries)
 {
 }
 
 void EventHistory::note(const core::Note &note, TimePoint now)
 {
-    std::string counter{name(note.kind)};
-    std::ranges::replace(counter, '-', '_');
-    m_metrics.count(counter, note.reason);
+    m_metrics.count(counterOf(note.kind), note.reason);
+    ++m_counts[{note.kind, std::string{note.reason}}];
     if (isLogged(levelOf(note.kind))) {
         std::string sentence{name(note.kind)};
         sentence += " reason=" + std::string{note.reason};
@@ -70,21 +82,45 @@
         }
         log(levelOf(note.kind), partOf(note.kind), sentence, note.job.value());
     }
+    if (!note.job.value().empty()) {
+        m_numbersOf[note.job].push_back(m_firstNumber + m_entries.size());
+    }
     m_entries.push_back({now, note.kind, std::string{note.reason}, note.job, note.detail});
-    if (m_entries.size() > maxEntries) {
-        m_entries.pop_front();
+    if (m_entries.size() > m_maxEntries) {
+        forgetOldest();
     }
 }
 
 std::vector<HistoryEntry> EventHistory::about(const JobId &job) const
 {
     std::vector<HistoryEntry> found;
-    for (const HistoryEntry &it : m_entries) {
-        if (it.job == job) {
-            found.push_back(it);
+    if (const auto it = m_numbersOf.find(job); it != m_numbersOf.end()) {
+        for (const std::uint64_t number : it->second) {
+            found.push_back(m_entries[number - m_firstNumber]);
         }
     }
     return found;
 }
 
+std::vector<DecisionCount> EventHistory::counts() const
+{
+    std::vector<DecisionCount> counts;
+    for (const auto &[key, n] : m_counts) {
+        counts.push_back({key.first, key.second, n});
+    }
+    return counts;
+}
+
+void EventHistory::forgetOldest()
+{
+    if (const auto it = m_numbersOf.find(m_entries.front().job); it != m_numbersOf.end()) {
+        it->second.pop_front();
+        if (it->second.empty()) {
+            m_numbersOf.erase(it);
+        }
+    }
+    m_entries.pop_front();
+    ++m_firstNumber;
+}
+
 } // namespace rattandock::app
--- a/src/rattandock/app/operator_api.cpp
+++ b/src/rattandock/app/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <map>
 
 #include "rattandock/app/fiber_question.hpp"
 
@@ -18,6 +19,60 @@
     return {status, json::serialize(object) + '\n', {}};
 }
 
+/// The task number and the upstream in a detail such as `task 3 on u1` or `task 3, u1`.
+struct TaskDetail
+{
+    std::string task;
+    std::string upstream;
+};
+
+std::optional<TaskDetail> taskDetail(const std::string &detail)
+{
+    static const std::string start = "task ";
+    if (!detail.starts_with(start)) {
+        return std::nullopt;
+    }
+    const auto end = detail.find_first_not_of("0123456789", start.size());
+    const auto space = detail.rfind(' ');
+    TaskDetail found{detail.substr(start.size(), end - start.size()), {}};
+    if (end != std::string::npos && space != std::string::npos && space >= end) {
+        found.upstream = detail.substr(space + 1);
+    }
+    return found;
+}
+
+/// One row for each placement: where the task went and why, and what it waited for before.
+json::array tasksOf(const std::vector<HistoryEntry> &entries)
+{
+    struct Wait
+    {
+        TimePoint since;
+        std::string reason = "free-slot";
+    };
+    std::map<std::string, Wait> waits;
+    json::array rows;
+    for (const HistoryEntry &it : entries) {
+        const auto detail = taskDetail(it.detail);
+        if (!detail) {
+            continue;
+        }
+        if (it.kind == core::NoteKind::TaskResent) {
+            waits[detail->task] = {it.time, "retry-backoff after " + it.reason};
+        }
+        if (it.kind == core::NoteKind::TaskPlaced) {
+            const Wait wait =
+                    waits.contains(detail->task) ? waits[detail->task] : Wait{entries.front().time};
+            const auto waited = toMilliseconds(it.time - wait.since);
+            rows.push_back(json::object{{"task", detail->task},
+                                        {"upstream", detail->upstream},
+                                        {"placement", it.reason},
+                                        {"waitedMs", waited},
+                                        {"waitedFor", waited == 0 ? "nothing" : wait.reason}});
+        }
+    }
+    return rows;
+}
+
 } // namespace
 
 OperatorApi::OperatorApi(DecisionLoop &loop, const EventHistory &history,
@@ -49,7 +104,8 @@
         return status();
     }
     if (request.method == "GET" && request.path.starts_with(explainPath)) {
-        return explain(JobId{adapters::percentDecode(request.path.substr(explainPath.size()))});
+        const auto id = adapters::percentDecodeStrictly(request.path.substr(explainPath.size()));
+        return id ? explain(JobId{*id}) : reply(400, {{"error", "bad-escape"}});
     }
     if (request.method == "POST" && request.path == "/v1/drain") {
         m_loop.post(core::DrainRequested{});
@@ -69,8 +125,20 @@
 
 HttpResponse OperatorApi::status()
 {
-    const auto status = askAndWait(
-            m_loop, [](core::Dispatcher &dispatcher, TimePoint) { return dispatcher.status(); });
+    struct Seen
+    {
+        core::DispatcherStatus status;
+        std::vector<DecisionCount> counts;
+    };
+    const auto seen = askAndWait(m_loop, [this](core::Dispatcher &dispatcher, TimePoint) {
+        return Seen{dispatcher.status(), m_history.counts()};
+    });
+    json::array decisions;
+    for (const DecisionCount &it : seen.counts) {
+        decisions.push_back(json::object{
+                {"decision", name(it.kind)}, {"reason", it.reason}, {"count", it.count}});
+    }
+    const core::DispatcherStatus &status = seen.status;
     return reply(200, {{"vm", m_vm.value()},
                        {"zone", m_zone.value()},
                        {"incarnation", m_incarnation.value()},
@@ -78,24 +146,49 @@
                        {"configurationVersion", status.configuration.value()},
                        {"records", status.records},
                        {"queuedTasks", status.queuedTasks},
-                       {"runningTasks", status.runningTasks}});
+                       {"runningTasks", status.runningTasks},
+                       {"decisions", std::move(decisions)}});
 }
 
 HttpResponse OperatorApi::explain(const JobId &job)
 {
-    const auto entries = askAndWait(
-            m_loop, [this, &job](core::Dispatcher &, TimePoint) { return m_history.about(job); });
-    if (entries.empty()) {
+    struct Seen
+    {
+        std::vector<HistoryEntry> entries;
+        std::optional<core::JobView> view;
+        core::DispatcherStatus status;
+        TimePoint now;
+    };
+    const auto seen = askAndWait(m_loop, [this, &job](core::Dispatcher &dispatcher, TimePoint now) {
+        return Seen{m_history.about(job), dispatcher.view(job), dispatcher.status(), now};
+    });
+    if (seen.entries.empty() && !seen.view) {
         return reply(404, {{"error", "unknown-job"}});
     }
-    json::array events;
-    for (const HistoryEntry &it : entries) {
-        events.push_back(json::object{{"afterMs", toMilliseconds(it.time - entries.front().time)},
-                                      {"event", name(it.kind)},
-                                      {"reason", it.reason},
-                                      {"detail", it.detail}});
+    json::object object{{"id", job.value()}};
+    if (seen.view) {
+        const bool hasEnded = seen.view->outcome.has_value();
+        const std::size_t waiting = hasEnded ? 0 : seen.view->taskCount - seen.view->startedCount;
+        object["state"] = hasEnded                       ? name(*seen.view->outcome)
+                          : seen.view->startedCount == 0 ? "queued"
+                                                         : "running";
+        if (hasEnded) {
+            object["reason"] = reasonName(*seen.view->outcome);
+        }
+        object["tasksWaiting"] = waiting;
+        object["waitingFor"] = waiting == 0 ? "nothing" : "free-slot";
+        object["queuedTasksOfAllJobs"] = seen.status.queuedTasks;
+    }
+    object["tasks"] = tasksOf(seen.entries);
+    json::array &events = object["events"].emplace_array();
+    for (const HistoryEntry &it : seen.entries) {
+        events.push_back(
+                json::object{{"afterMs", toMilliseconds(it.time - seen.entries.front().time)},
+                             {"event", name(it.kind)},
+                             {"reason", it.reason},
+                             {"detail", it.detail}});
     }
-    return reply(200, {{"id", job.value()}, {"events", std::move(events)}});
+    return reply(200, object);
 }
 
 } // namespace rattandock::app
--- a/src/rattandockd/main.cpp
+++ b/src/rattandockd/main.cpp
@@ -37,6 +37,7 @@
     }
     daemon.value()->stop();
     adapters::log(adapters::LogLevel::Info, adapters::LogPart::Daemon, "stopped");
+    adapters::shutDownLog();
     return app::exitOk;
 }
 
@@ -65,7 +66,6 @@
         std::cout << "settings are valid\n";
         return app::exitOk;
     }
-    adapters::setUpLog(settings.value().logLevel);
     // Blocked before any thread starts, so that only sigwait() takes them.
     sigset_t stopSignals;
     sigemptyset(&stopSignals);
@@ -73,6 +73,7 @@
     sigaddset(&stopSignals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    adapters::setUpLog(settings.value().logLevel);
     return serve(settings.value(), stopSignals);
 }
 
