Register every counter at the start and read it without a lock

Cause: counters appeared at their first use, with no help text, behind a mutex that every I/O thread and the decision thread took; there were no gauges; and answers of different outcomes shared a counter, so that deadline-passed counted refusals and failures together. Change: tables of all names and reasons; an unchanging index to atomic counters; a lock only for a reason that is in no table. answers_total is split by outcome. Operators' drain now takes the same path as a signal and ends the process. Conclusion: a dashboard can be made before the first refusal.

--- a/include/rattandock/app/daemon.hpp
+++ b/include/rattandock/app/daemon.hpp
@@ -22,7 +22,7 @@
     std::uint16_t callerPort() const;
     std::uint16_t operatorPort() const;
 
-    /// Begins the planned stop: not ready, no new jobs.
+    /// Begins the planned stop: not ready, no new jobs, and each answer ends its connection.
     void drain();
     /// True once the planned stop is done or its limit has passed.
     bool isDrained() const;
--- a/include/rattandock/app/decision_loop.hpp
+++ b/include/rattandock/app/decision_loop.hpp
@@ -50,6 +50,8 @@
 
     /// True once the planned stop is done.
     bool isStopped() const { return m_stopped; }
+    /// Share of the last whole second in which the thread did not wait for events, 0 to 1.
+    double busyShare() const { return m_busyShare; }
     /// True while callers may get home tokens.
     bool issuesTokens() const { return m_issuesTokens; }
 
@@ -60,6 +62,7 @@
     using Item = std::variant<core::Event, Question, Quit>;
 
     void run();
+    void measure(TimePoint waitBegan, TimePoint waitEnded);
     void carryOut(core::Actions &actions, TimePoint now);
 
     core::Dispatcher m_dispatcher;
@@ -69,6 +72,10 @@
     std::thread m_thread;
     std::atomic<bool> m_stopped = false;
     std::atomic<bool> m_issuesTokens = false;
+    std::atomic<double> m_busyShare = 0;
+    /// Start of the second that is measured, and the time waited in it.
+    TimePoint m_secondBegan;
+    Duration m_waited{};
 };
 
 } // namespace rattandock::app
--- /dev/null
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -0,0 +1,83 @@
+#include "metric_tables.hpp"
+
+#include "rattandock/core/placement_policy.hpp"
+#include "rattandock/core/reason.hpp"
+
+namespace rattandock::adapters::detail {
+
+namespace {
+
+template <typename Reason>
+std::vector<std::string_view> namesOf(std::size_t count)
+{
+    std::vector<std::string_view> names;
+    for (std::size_t n = 0; n < count; ++n) {
+        names.push_back(core::name(static_cast<Reason>(n)));
+    }
+    return names;
+}
+
+std::vector<std::string_view> joined(std::vector<std::string_view> a,
+                                     const std::vector<std::string_view> &b)
+{
+    a.insert(a.end(), b.begin(), b.end());
+    return a;
+}
+
+std::vector<std::string_view> policyNames()
+{
+    constexpr std::size_t policies =
+            static_cast<std::size_t>(core::PlacementPolicyKind::PowerOfTwoChoices) + 1;
+    return namesOf<core::PlacementPolicyKind>(policies);
+}
+
+} // namespace
+
+std::vector<CounterFamily> counterFamilies()
+{
+    const auto refusals = namesOf<core::RefusalReason>(core::refusalReasonCount);
+    const auto failures = namesOf<core::FailureReason>(core::failureReasonCount);
+    const auto unknowns = namesOf<core::UnknownReason>(core::unknownReasonCount);
+    const auto notStarted = namesOf<core::NotStartedReason>(core::notStartedReasonCount);
+    const auto attemptFailures = namesOf<core::AttemptFailure>(core::attemptFailureCount);
+    return {
+            {"answers_complete", "Answers to callers with every result.", {"complete"}},
+            {"answers_failed", "Answers of jobs that started and failed.", failures},
+            {"answers_not_run", "Refusals given to callers.", refusals},
+            {"answers_unknown", "Answers of jobs that may have run.", unknowns},
+            {"bad_requests",
+             "Requests refused without an outcome.",
+             {"bad-escape", "bad-job", "body-too-large", "header-too-large", "malformed",
+              "method-not-allowed", "slow-sender", "too-many-connections", "truncated",
+              "unknown-job", "unknown-route", "unknown-team"}},
+            {"job_accepted", "Jobs that were queued.", {"home-form", "key-form"}},
+            {"job_joined", "Resubmissions that joined their job.", {"resubmission"}},
+            {"job_refused", "Refusals that were recorded.", refusals},
+            {"job_ended",
+             "Jobs that ended, by outcome.",
+             {"complete", "failed", "not-run", "unknown"}},
+            {"task_placed", "Tasks sent to an upstream, by placement reason.", policyNames()},
+            {"task_resent", "Tasks sent again because they did not start.", notStarted},
+            {"upstream_ejected", "Upstreams ejected after failures.",
+             joined(notStarted, attemptFailures)},
+            {"unknown_attempt",
+             "Ends of attempts that the core does not know.",
+             {"unknown-attempt"}},
+            {"configuration_in_force", "Configurations that came into force.", {"accepted"}},
+    };
+}
+
+std::vector<GaugeFamily> gaugeFamilies()
+{
+    return {
+            {"queued_tasks", "Tasks that wait for an upstream."},
+            {"running_tasks", "Tasks that were sent and have not ended."},
+            {"records", "Job records, running and finished."},
+            {"caller_connections", "Open connections of the caller listener."},
+            {"operator_connections", "Open connections of the operator listener."},
+            {"decision_busy_share", "Share of the last second that the decision thread worked."},
+            {"resident_memory_bytes", "Resident memory of the process."},
+    };
+}
+
+} // namespace rattandock::adapters::detail
--- a/src/rattandock/app/caller_api.cpp
+++ b/src/rattandock/app/caller_api.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "rattandock/app/fiber_question.hpp"
+#include "rattandock/base/overloaded.hpp"
 
 namespace rattandock::app {
 
@@ -25,6 +26,15 @@
     return path.substr(prefix.size());
 }
 
+std::string_view counterOf(const core::JobOutcome &outcome)
+{
+    return std::visit(Overloaded{[](const core::Complete &) { return "answers_complete"; },
+                                 [](const core::Failed &) { return "answers_failed"; },
+                                 [](const core::NotRun &) { return "answers_not_run"; },
+                                 [](const core::Unknown &) { return "answers_unknown"; }},
+                      outcome);
+}
+
 } // namespace
 
 CallerApi::CallerApi(DecisionLoop &loop, AnswerBoard &answers, adapters::Metrics &metrics,
@@ -102,7 +112,8 @@
     const CallerRequestId waiting = m_answers.open();
     m_loop.post(core::JobSubmitted{waiting, std::move(job.value())});
     const core::JobOutcome outcome = m_answers.wait(waiting);
-    m_metrics.count("answers", reasonName(outcome).empty() ? name(outcome) : reasonName(outcome));
+    m_metrics.count(counterOf(outcome),
+                    reasonName(outcome).empty() ? name(outcome) : reasonName(outcome));
     return {adapters::statusOf(outcome), adapters::formatAnswer(id, outcome), {}};
 }
 
--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <openssl/rand.h>
 
+#include <atomic>
 #include <utility>
 
 #include "rattandock/adapters/log.hpp"
@@ -20,6 +21,8 @@
 
 namespace {
 
+constexpr TimePoint notDraining = TimePoint::min();
+
 /// Stands in until peer streams are built.
 class NoPeers final : public ports::PeerPort
 {
@@ -75,9 +78,19 @@
                     core::TokenAuthority{settings.dispatcher.vm, settings.dispatcher.incarnation,
                                          settings.dispatcher.tokenLifetime,
                                          settings.dispatcher.tokenSecret})
-        , operatorApi(loop, history, metrics, settings.dispatcher)
+        , operatorApi(loop, history, metrics, settings.dispatcher,
+                      {[this] { return callerServer->connections(); },
+                       [this] { return operatorConnections(); }, [this] { drain(); },
+                       [this] { return drainBegan.load() != notDraining; }})
+    {
+    }
+
+    std::size_t operatorConnections() const
     {
+        const HttpServer *server = operatorView;
+        return server == nullptr ? 0 : server->connections();
     }
+    void drain();
 
     adapters::Settings settings;
     adapters::SystemClock clock;
@@ -92,7 +105,9 @@
     OperatorApi operatorApi;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> operatorServer;
-    std::optional<TimePoint> drainBegan;
+    /// Null until start() has set operatorServer, which its own first requests may precede.
+    std::atomic<const HttpServer *> operatorView = nullptr;
+    std::atomic<TimePoint> drainBegan = notDraining;
     bool isStopped = false;
 };
 
@@ -106,22 +121,25 @@
     const auto badRequest = [&it](std::string_view reason) {
         it.metrics.count("bad_requests", reason);
     };
-    auto callers = HttpServer::listen(
-            it.threads, settings.callerAddress, settings.http,
-            [&it](const auto &request) { return it.callerApi.serve(request); }, badRequest);
-    auto operators = HttpServer::listen(
-            it.threads, settings.operatorAddress, settings.http,
-            [&it](const auto &request) { return it.operatorApi.serve(request); }, badRequest);
     Findings findings;
-    if (!callers) {
-        findings.add("callerAddress", callers.error().message());
-    } else {
-        it.callerServer = std::move(callers.value());
-    }
-    if (!operators) {
-        findings.add("operatorAddress", operators.error().message());
-    } else {
-        it.operatorServer = std::move(operators.value());
+    // The routes use both servers, so each is in its place before a request can need it.
+    const auto listen = [&](const char *key, const auto &address, auto handler, auto &into) {
+        auto server = HttpServer::listen(it.threads, address, settings.http, handler, badRequest);
+        if (!server) {
+            findings.add(key, server.error().message());
+        } else {
+            into = std::move(server.value());
+        }
+    };
+    listen(
+            "callerAddress", settings.callerAddress,
+            [&it](const auto &request) { return it.callerApi.serve(request); }, it.callerServer);
+    if (it.callerServer) {
+        listen(
+                "operatorAddress", settings.operatorAddress,
+                [&it](const auto &request) { return it.operatorApi.serve(request); },
+                it.operatorServer);
+        it.operatorView = it.operatorServer.get();
     }
     std::unique_ptr<Daemon> daemon{new Daemon(std::move(parts))};
     if (!findings.empty()) {
@@ -154,18 +172,29 @@
     return m_parts->operatorServer->port();
 }
 
-void Daemon::drain()
+void Daemon::Parts::drain()
 {
-    m_parts->drainBegan = m_parts->clock.now();
-    m_parts->loop.post(core::DrainRequested{});
+    TimePoint expected = notDraining;
+    // Not ready from here on; only then are new jobs refused.
+    if (!drainBegan.compare_exchange_strong(expected, clock.now())) {
+        return;
+    }
+    loop.post(core::DrainRequested{});
+    callerServer->closeAfterAnswers();
     log(LogLevel::Info, LogPart::Daemon, "draining");
 }
 
+void Daemon::drain()
+{
+    m_parts->drain();
+}
+
 bool Daemon::isDrained() const
 {
-    const auto &began = m_parts->drainBegan;
+    const TimePoint began = m_parts->drainBegan;
     const bool limitPassed =
-            began && m_parts->clock.now() - *began >= m_parts->settings.dispatcher.stopLimit;
+            began != notDraining
+            && m_parts->clock.now() - began >= m_parts->settings.dispatcher.stopLimit;
     return m_parts->loop.isStopped() || limitPassed;
 }
 
@@ -178,7 +207,6 @@
     for (auto *server : {&m_parts->callerServer, &m_parts->operatorServer}) {
         if (*server) {
             (*server)->stop();
-            server->reset();
         }
     }
     m_parts->upstreams.shutDown();
--- a/src/rattandock/app/decision_loop.cpp
+++ b/src/rattandock/app/decision_loop.cpp
@@ -59,9 +59,11 @@
 void DecisionLoop::run()
 {
     core::Actions actions;
+    m_secondBegan = m_clock.now();
     while (true) {
         const auto timer = m_dispatcher.nextTimer();
-        const Duration untilTimer = timer ? *timer - m_clock.now() : idleWait;
+        const TimePoint waitBegan = m_clock.now();
+        const Duration untilTimer = timer ? *timer - waitBegan : idleWait;
         Item item = core::Event{core::TimerFired{}};
         if (untilTimer > Duration::zero()) {
             m_queue.wait_dequeue_timed(item, std::min(untilTimer, idleWait));
@@ -69,6 +71,7 @@
             m_queue.try_dequeue(item);
         }
         const TimePoint now = m_clock.now();
+        measure(waitBegan, now);
         if (std::holds_alternative<Quit>(item)) {
             return;
         }
@@ -81,6 +84,18 @@
     }
 }
 
+void DecisionLoop::measure(TimePoint waitBegan, TimePoint waitEnded)
+{
+    m_waited += waitEnded - waitBegan;
+    const Duration passed = waitEnded - m_secondBegan;
+    if (passed >= std::chrono::seconds{1}) {
+        m_busyShare =
+                1.0 - static_cast<double>(m_waited.count()) / static_cast<double>(passed.count());
+        m_secondBegan = waitEnded;
+        m_waited = {};
+    }
+}
+
 void DecisionLoop::carryOut(core::Actions &actions, TimePoint now)
 {
     for (core::Action &action : actions) {
--- a/src/rattandock/app/operator_api.cpp
+++ b/src/rattandock/app/operator_api.cpp
@@ -76,13 +76,15 @@
 } // namespace
 
 OperatorApi::OperatorApi(DecisionLoop &loop, const EventHistory &history,
-                         adapters::Metrics &metrics, const core::DispatcherOptions &options)
+                         adapters::Metrics &metrics, const core::DispatcherOptions &options,
+                         OperatorHooks hooks)
     : m_loop(loop)
     , m_history(history)
     , m_metrics(metrics)
     , m_vm(options.vm)
     , m_zone(options.zone)
     , m_incarnation(options.incarnation)
+    , m_hooks(std::move(hooks))
 {
 }
 
@@ -96,9 +98,7 @@
         return ready();
     }
     if (request.method == "GET" && request.path == "/metrics") {
-        HttpResponse response{200, m_metrics.text(), {}};
-        response.contentType = "text/plain; version=0.0.4";
-        return response;
+        return metrics();
     }
     if (request.method == "GET" && request.path == "/v1/status") {
         return status();
@@ -108,18 +108,38 @@
         return id ? explain(JobId{*id}) : reply(400, {{"error", "bad-escape"}});
     }
     if (request.method == "POST" && request.path == "/v1/drain") {
-        m_loop.post(core::DrainRequested{});
+        m_hooks.drain();
         return status();
     }
     return reply(404, {{"error", "unknown-route"}});
 }
 
+HttpResponse OperatorApi::metrics()
+{
+    const auto status = askAndWait(
+            m_loop, [](core::Dispatcher &dispatcher, TimePoint) { return dispatcher.status(); });
+    const auto set = [this](std::string_view name, auto value) {
+        m_metrics.set(name, static_cast<double>(value));
+    };
+    set("queued_tasks", status.queuedTasks);
+    set("running_tasks", status.runningTasks);
+    set("records", status.records);
+    set("caller_connections", m_hooks.callerConnections());
+    set("operator_connections", m_hooks.operatorConnections());
+    set("decision_busy_share", m_loop.busyShare());
+    set("resident_memory_bytes", adapters::residentBytes());
+    HttpResponse response{200, m_metrics.text(), {}};
+    response.contentType = "text/plain; version=0.0.4";
+    return response;
+}
+
 HttpResponse OperatorApi::ready()
 {
-    const bool isReady = askAndWait(m_loop, [](core::Dispatcher &dispatcher, TimePoint) {
-        const core::DispatcherStatus status = dispatcher.status();
-        return !status.draining && status.configuration.value() > 0;
-    });
+    const bool isReady = !m_hooks.isDraining()
+                         && askAndWait(m_loop, [](core::Dispatcher &dispatcher, TimePoint) {
+                                const core::DispatcherStatus status = dispatcher.status();
+                                return !status.draining && status.configuration.value() > 0;
+                            });
     return reply(isReady ? 200 : 503, {{"ready", isReady}});
 }
 
--- a/src/rattandockd/main.cpp
+++ b/src/rattandockd/main.cpp
@@ -29,8 +29,9 @@
         std::cerr << describe(daemon.error());
         return app::exitFailed;
     }
-    int signal = 0;
-    sigwait(&stopSignals, &signal);
+    // Ends on a signal or when an operator's drain is done.
+    constexpr timespec pollTime{0, 100'000'000};
+    while (sigtimedwait(&stopSignals, nullptr, &pollTime) < 0 && !daemon.value()->isDrained()) { }
     daemon.value()->drain();
     while (!daemon.value()->isDrained()) {
         std::this_thread::sleep_for(std::chrono::milliseconds{10});
