Publish routes and limits to the I/O threads by read-copy-update

Cause: an unknown team was refused, if at all, only by the decision thread, and limits were copied at the start, so no configuration change could reach them. Jobs without a team are accepted. Conclusion: early checks need neither a lock nor the decision thread.

--- a/include/rattandock/app/caller_api.hpp
+++ b/include/rattandock/app/caller_api.hpp
@@ -5,6 +5,7 @@
 #include "rattandock/adapters/metrics.hpp"
 #include "rattandock/app/answer_board.hpp"
 #include "rattandock/app/decision_loop.hpp"
+#include "rattandock/app/routing_snapshot.hpp"
 #include "rattandock/core/home_token.hpp"
 
 namespace rattandock::app {
@@ -14,7 +15,7 @@
 {
 public:
     CallerApi(DecisionLoop &loop, AnswerBoard &answers, adapters::Metrics &metrics,
-              const ports::Clock &clock, adapters::JobLimits limits, core::TokenAuthority tokens);
+              const ports::Clock &clock, const Routing &routing, core::TokenAuthority tokens);
 
     adapters::HttpResponse serve(const adapters::HttpRequest &request);
 
@@ -31,7 +32,7 @@
     AnswerBoard &m_answers;
     adapters::Metrics &m_metrics;
     const ports::Clock &m_clock;
-    adapters::JobLimits m_limits;
+    const Routing &m_routing;
     core::TokenAuthority m_tokens;
 };
 
--- a/src/rattandock/app/bad_input_test.cpp
+++ b/src/rattandock/app/bad_input_test.cpp
@@ -214,6 +214,26 @@
     daemon.value()->stop();
 }
 
+// Guards against a team that is refused only after the decision thread has seen the job, and
+// against refusing jobs without a team.
+BOOST_AUTO_TEST_CASE(refusesUnknownTeams)
+{
+    auto settings = testSettings();
+    settings.teams.push_back({TeamId{"known"}});
+    const std::vector<Case> cases{{"unknown team",
+                                   post(job(R"([{"payload":""}])", R"(,"team":"other")")), 400,
+                                   "unknown-team", "$.team"}};
+    checkAll(cases, settings);
+    auto daemon = app::Daemon::start(settings);
+    BOOST_REQUIRE(daemon);
+    const auto port = daemon.value()->callerPort();
+    const std::string task = R"([{"payload":""}])";
+    for (const auto *team : {R"(,"team":"known")", R"(,"team":"")", ""}) {
+        BOOST_TEST(ask(port, "POST", "/v1/jobs", job(task, team)).result_int() != 400U);
+    }
+    daemon.value()->stop();
+}
+
 // Guards against a wrong method without the methods that are right.
 BOOST_AUTO_TEST_CASE(namesTheAllowedMethods)
 {
--- a/src/rattandock/app/caller_api.cpp
+++ b/src/rattandock/app/caller_api.cpp
@@ -38,13 +38,12 @@
 } // namespace
 
 CallerApi::CallerApi(DecisionLoop &loop, AnswerBoard &answers, adapters::Metrics &metrics,
-                     const ports::Clock &clock, adapters::JobLimits limits,
-                     core::TokenAuthority tokens)
+                     const ports::Clock &clock, const Routing &routing, core::TokenAuthority tokens)
     : m_loop(loop)
     , m_answers(answers)
     , m_metrics(metrics)
     , m_clock(clock)
-    , m_limits(limits)
+    , m_routing(routing)
     , m_tokens(std::move(tokens))
 {
 }
@@ -104,10 +103,18 @@
 
 HttpResponse CallerApi::submit(const HttpRequest &request)
 {
-    auto job = adapters::parseJob(request.body, m_limits);
+    const auto limits = m_routing.read([](const RoutingSnapshot &it) { return it.limits; });
+    auto job = adapters::parseJob(request.body, limits);
     if (!job) {
         return refuse(400, "bad-job", job.error());
     }
+    const bool knowsTeam = m_routing.read(
+            [&job](const RoutingSnapshot &it) { return it.knows(job.value().team); });
+    if (!knowsTeam) {
+        Findings findings;
+        findings.add("$.team", "is not a configured team");
+        return refuse(400, "unknown-team", findings);
+    }
     const JobId id = job.value().id;
     const CallerRequestId waiting = m_answers.open();
     m_loop.post(core::JobSubmitted{waiting, std::move(job.value())});
--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -12,6 +12,7 @@
 #include "rattandock/app/decision_loop.hpp"
 #include "rattandock/app/event_history.hpp"
 #include "rattandock/app/operator_api.hpp"
+#include "rattandock/app/routing_snapshot.hpp"
 
 namespace rattandock::app {
 
@@ -70,11 +71,12 @@
     explicit Parts(const adapters::Settings &from)
         : settings(withIncarnation(from))
         , loop(core::Dispatcher{settings.dispatcher, randomValue<std::uint64_t>()}, clock)
+        , routing(makeRouting(ConfigurationVersion{1}, settings.jobs, settings.teams))
         , threads(settings.ioThreads)
         , answers(threads)
         , history(metrics)
         , upstreams(threads, clock, loop, settings.upstreamClient, addressesOf(settings))
-        , callerApi(loop, answers, metrics, clock, settings.jobs,
+        , callerApi(loop, answers, metrics, clock, routing,
                     core::TokenAuthority{settings.dispatcher.vm, settings.dispatcher.incarnation,
                                          settings.dispatcher.tokenLifetime,
                                          settings.dispatcher.tokenSecret})
@@ -96,6 +98,7 @@
     adapters::SystemClock clock;
     adapters::Metrics metrics;
     DecisionLoop loop;
+    Routing routing;
     adapters::IoThreads threads;
     AnswerBoard answers;
     EventHistory history;
@@ -203,7 +206,10 @@
     if (std::exchange(m_parts->isStopped, true)) {
         return;
     }
-    m_parts->answers.answerAllUnknown();
+    if (!m_parts->loop.isStopped()) {
+        // After a whole drain the core still answers at once, and better.
+        m_parts->answers.answerAllUnknown();
+    }
     for (auto *server : {&m_parts->callerServer, &m_parts->operatorServer}) {
         if (*server) {
             (*server)->stop();
