--- a/include/rattandock/adapters/json_object_reader.hpp
+++ b/include/rattandock/adapters/json_object_reader.hpp
@@ -40,6 +40,9 @@
     /// Adds a finding for each key that was never asked for.
     void reportUnknownKeys();
 
+    /// The keys that were asked for so far.
+    const std::set<std::string, std::less<>> &knownKeys() const { return m_known; }
+
     const std::string &path() const { return m_path; }
 
 private:
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -184,6 +184,25 @@
     readInteger(reader, "maxReplyBytes", 1, 64 << 20, options.maxReplyBytes);
 }
 
+void readSettings(JsonObjectReader &reader, Settings &settings)
+{
+    readName(reader, "vm", true, settings.dispatcher.vm);
+    readName(reader, "zone", true, settings.dispatcher.zone);
+    readAddress(reader, "callerAddress", settings.callerAddress);
+    readAddress(reader, "operatorAddress", settings.operatorAddress);
+    readInteger(reader, "ioThreads", 1, 64, settings.ioThreads);
+    readLogLevel(reader, settings.logLevel);
+    readPolicy(reader, settings.dispatcher.placement);
+    readLimits(reader, settings);
+    readTimes(reader, settings);
+    readUpstreamClient(reader, settings.upstreamClient);
+    reader.objects("upstreams", 0, 100'000, [&](JsonObjectReader &item) {
+        settings.upstreams.push_back(readUpstream(item, settings.dispatcher.zone));
+    });
+    reader.objects("teams", 0, 100'000,
+                   [&](JsonObjectReader &item) { settings.teams.push_back(readTeam(item)); });
+}
+
 std::string lineOf(std::string_view text, std::size_t offset)
 {
     const auto head = text.substr(0, std::min(offset, text.size()));
@@ -216,21 +235,7 @@
     }
     Settings settings;
     JsonObjectReader reader{value.get_object(), "$", findings};
-    readName(reader, "vm", true, settings.dispatcher.vm);
-    readName(reader, "zone", true, settings.dispatcher.zone);
-    readAddress(reader, "callerAddress", settings.callerAddress);
-    readAddress(reader, "operatorAddress", settings.operatorAddress);
-    readInteger(reader, "ioThreads", 1, 64, settings.ioThreads);
-    readLogLevel(reader, settings.logLevel);
-    readPolicy(reader, settings.dispatcher.placement);
-    readLimits(reader, settings);
-    readTimes(reader, settings);
-    readUpstreamClient(reader, settings.upstreamClient);
-    reader.objects("upstreams", 0, 100'000, [&](JsonObjectReader &item) {
-        settings.upstreams.push_back(readUpstream(item, settings.dispatcher.zone));
-    });
-    reader.objects("teams", 0, 100'000,
-                   [&](JsonObjectReader &item) { settings.teams.push_back(readTeam(item)); });
+    readSettings(reader, settings);
     reader.reportUnknownKeys();
     reportDoubledIds(settings, findings);
     settings.jobs.maxDeadline = settings.dispatcher.recordGrace;
@@ -244,6 +249,25 @@
     return placed;
 }
 
+std::vector<std::string> settingsKeys()
+{
+    const json::object none;
+    Findings ignored;
+    Settings settings;
+    std::vector<std::string> keys;
+    const auto add = [&](const std::string &prefix, auto read) {
+        JsonObjectReader reader{none, "$", ignored};
+        read(reader);
+        for (const std::string &it : reader.knownKeys()) {
+            keys.push_back(prefix + it);
+        }
+    };
+    add("", [&](JsonObjectReader &reader) { readSettings(reader, settings); });
+    add("upstreams[].", [](JsonObjectReader &reader) { readUpstream(reader, {}); });
+    add("teams[].", [](JsonObjectReader &reader) { readTeam(reader); });
+    return keys;
+}
+
 Checked<Settings> loadSettings(const std::string &file)
 {
     std::ifstream in{file};
