--- a/src/rattandock/app/operator_api.cpp
+++ b/src/rattandock/app/operator_api.cpp
@@ -192,7 +192,7 @@
         object["state"] = hasEnded                       ? name(*seen.view->outcome)
                           : seen.view->startedCount == 0 ? "queued"
                                                          : "running";
-        if (hasEnded) {
+        if (hasEnded && !reasonName(*seen.view->outcome).empty()) {
             object["reason"] = reasonName(*seen.view->outcome);
         }
         object["tasksWaiting"] = waiting;
