--- a/src/rattandock/app/caller_api.cpp
+++ b/src/rattandock/app/caller_api.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "rattandock/app/fiber_question.hpp"
+#include "rattandock/base/overloaded.hpp"
 
 namespace rattandock::app {
 
@@ -15,25 +16,34 @@
 constexpr std::string_view jobsPath = "/v1/jobs";
 constexpr std::string_view tokensPath = "/v1/tokens";
 
-std::optional<JobId> jobOf(const std::string &path)
+/// The part of the path after `/v1/jobs/`, still encoded.
+std::optional<std::string> encodedJobOf(const std::string &path)
 {
     const std::string prefix = std::string{jobsPath} + '/';
     if (!path.starts_with(prefix) || path.size() == prefix.size()) {
         return std::nullopt;
     }
-    return JobId{adapters::percentDecode(path.substr(prefix.size()))};
+    return path.substr(prefix.size());
+}
+
+std::string_view counterOf(const core::JobOutcome &outcome)
+{
+    return std::visit(Overloaded{[](const core::Complete &) { return "answers_complete"; },
+                                 [](const core::Failed &) { return "answers_failed"; },
+                                 [](const core::NotRun &) { return "answers_not_run"; },
+                                 [](const core::Unknown &) { return "answers_unknown"; }},
+                      outcome);
 }
 
 } // namespace
 
 CallerApi::CallerApi(DecisionLoop &loop, AnswerBoard &answers, adapters::Metrics &metrics,
-                     const ports::Clock &clock, adapters::JobLimits limits,
-                     core::TokenAuthority tokens)
+                     const ports::Clock &clock, const Routing &routing, core::TokenAuthority tokens)
     : m_loop(loop)
     , m_answers(answers)
     , m_metrics(metrics)
     , m_clock(clock)
-    , m_limits(limits)
+    , m_routing(routing)
     , m_tokens(std::move(tokens))
 {
 }
@@ -52,23 +62,28 @@
 {
     const bool isJobs = request.path == jobsPath;
     const bool isTokens = request.path == tokensPath;
-    const auto job = jobOf(request.path);
+    const auto encodedJob = encodedJobOf(request.path);
+    Findings findings;
     if (isJobs && request.method == "POST") {
         return submit(request);
     }
     if (isTokens && request.method == "POST") {
         return issueToken();
     }
-    if (job && request.method == "GET") {
-        return show(*job);
+    if (encodedJob && (request.method == "GET" || request.method == "DELETE")) {
+        const auto job = adapters::percentDecodeStrictly(*encodedJob);
+        if (!job) {
+            findings.add("id", "must be UTF-8 with valid percent escapes");
+            return refuse(400, "bad-escape", findings);
+        }
+        return request.method == "GET" ? show(JobId{*job}) : cancel(JobId{*job});
     }
-    if (job && request.method == "DELETE") {
-        return cancel(*job);
-    }
-    Findings findings;
-    if (isJobs || isTokens || job) {
-        findings.add("method", request.method + " is not allowed here");
-        return refuse(405, "method-not-allowed", findings);
+    if (isJobs || isTokens || encodedJob) {
+        const std::string allowed = encodedJob ? "GET, DELETE" : "POST";
+        findings.add("method", "must be one of " + allowed);
+        HttpResponse response = refuse(405, "method-not-allowed", findings);
+        response.headers.emplace_back("Allow", allowed);
+        return response;
     }
     findings.add("path", "is not a known route");
     return refuse(404, "unknown-route", findings);
@@ -88,15 +103,24 @@
 
 HttpResponse CallerApi::submit(const HttpRequest &request)
 {
-    auto job = adapters::parseJob(request.body, m_limits);
+    const auto limits = m_routing.read([](const RoutingSnapshot &it) { return it.limits; });
+    auto job = adapters::parseJob(request.body, limits);
     if (!job) {
         return refuse(400, "bad-job", job.error());
     }
+    const bool knowsTeam = m_routing.read(
+            [&job](const RoutingSnapshot &it) { return it.knows(job.value().team); });
+    if (!knowsTeam) {
+        Findings findings;
+        findings.add("$.team", "is not a configured team");
+        return refuse(400, "unknown-team", findings);
+    }
     const JobId id = job.value().id;
     const CallerRequestId waiting = m_answers.open();
     m_loop.post(core::JobSubmitted{waiting, std::move(job.value())});
     const core::JobOutcome outcome = m_answers.wait(waiting);
-    m_metrics.count("answers", reasonName(outcome).empty() ? name(outcome) : reasonName(outcome));
+    m_metrics.count(counterOf(outcome),
+                    reasonName(outcome).empty() ? name(outcome) : reasonName(outcome));
     return {adapters::statusOf(outcome), adapters::formatAnswer(id, outcome), {}};
 }
 
--- a/src/rattandock/app/decision_loop.cpp
+++ b/src/rattandock/app/decision_loop.cpp
@@ -1,5 +1,7 @@
 #include "rattandock/app/decision_loop.hpp"
 
+#include <future>
+
 #include "rattandock/base/overloaded.hpp"
 
 namespace rattandock::app {
@@ -47,12 +49,21 @@
     m_queue.enqueue(std::move(question));
 }
 
+void DecisionLoop::waitForPosted()
+{
+    std::promise<void> handled;
+    ask([&handled](core::Dispatcher &, TimePoint) { handled.set_value(); });
+    handled.get_future().wait();
+}
+
 void DecisionLoop::run()
 {
     core::Actions actions;
+    m_secondBegan = m_clock.now();
     while (true) {
         const auto timer = m_dispatcher.nextTimer();
-        const Duration untilTimer = timer ? *timer - m_clock.now() : idleWait;
+        const TimePoint waitBegan = m_clock.now();
+        const Duration untilTimer = timer ? *timer - waitBegan : idleWait;
         Item item = core::Event{core::TimerFired{}};
         if (untilTimer > Duration::zero()) {
             m_queue.wait_dequeue_timed(item, std::min(untilTimer, idleWait));
@@ -60,6 +71,7 @@
             m_queue.try_dequeue(item);
         }
         const TimePoint now = m_clock.now();
+        measure(waitBegan, now);
         if (std::holds_alternative<Quit>(item)) {
             return;
         }
@@ -72,6 +84,18 @@
     }
 }
 
+void DecisionLoop::measure(TimePoint waitBegan, TimePoint waitEnded)
+{
+    m_waited += waitEnded - waitBegan;
+    const Duration passed = waitEnded - m_secondBegan;
+    if (passed >= std::chrono::seconds{1}) {
+        m_busyShare =
+                1.0 - static_cast<double>(m_waited.count()) / static_cast<double>(passed.count());
+        m_secondBegan = waitEnded;
+        m_waited = {};
+    }
+}
+
 void DecisionLoop::carryOut(core::Actions &actions, TimePoint now)
 {
     for (core::Action &action : actions) {
--- a/src/rattandockd/main.cpp
+++ b/src/rattandockd/main.cpp
@@ -29,14 +29,16 @@
         std::cerr << describe(daemon.error());
         return app::exitFailed;
     }
-    int signal = 0;
-    sigwait(&stopSignals, &signal);
+    // Ends on a signal or when an operator's drain is done.
+    constexpr timespec pollTime{0, 100'000'000};
+    while (sigtimedwait(&stopSignals, nullptr, &pollTime) < 0 && !daemon.value()->isDrained()) { }
     daemon.value()->drain();
     while (!daemon.value()->isDrained()) {
         std::this_thread::sleep_for(std::chrono::milliseconds{10});
     }
     daemon.value()->stop();
     adapters::log(adapters::LogLevel::Info, adapters::LogPart::Daemon, "stopped");
+    adapters::shutDownLog();
     return app::exitOk;
 }
 
@@ -65,7 +67,6 @@
         std::cout << "settings are valid\n";
         return app::exitOk;
     }
-    adapters::setUpLog(settings.value().logLevel);
     // Blocked before any thread starts, so that only sigwait() takes them.
     sigset_t stopSignals;
     sigemptyset(&stopSignals);
@@ -73,6 +74,7 @@
     sigaddset(&stopSignals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    adapters::setUpLog(settings.value().logLevel);
     return serve(settings.value(), stopSignals);
 }
 
