Give the upstream stand-in faults, run times and a start log

Cause: the stand-in slept for the estimate only, so no fault and no double start could be shown. Change: a library part with one test program. Settings in JSON with comments, run times that depend on the seed and the task (not on the order of requests), a geometric spread of speeds, fault switches by POST /faults on each upstream's port, and a start log with one write() per task. The HTTP server can reset a connection instead of answering. Reading of JSON documents moves from settings.cpp to json_document.cpp, so that both settings files share it.

--- a/cmake/layer.cmake
+++ b/cmake/layer.cmake
@@ -1,10 +1,10 @@
-# Adds the library rattandock-NAME from the sources in the current folder and, from its *_test.cpp
-# files, the one test program rattandock-NAME-test.
+# Adds the library rattandock-NAME from the sources in the current folder (without main.cpp) and,
+# from its *_test.cpp files, the one test program rattandock-NAME-test.
 function(rattandock_layer NAME)
     cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS *.cpp detail/*.cpp)
     set(tests ${sources})
-    list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+    list(FILTER sources EXCLUDE REGEX "(_test|/main)\\.cpp$")
     list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
 
     add_library(rattandock-${NAME} STATIC ${sources})
--- a/include/rattandock/adapters/http_message.hpp
+++ b/include/rattandock/adapters/http_message.hpp
@@ -30,6 +30,8 @@
     std::string body;
     HttpHeaders headers;
     std::string contentType = "application/json";
+    /// Resets the connection and sends nothing; for stand-ins that show this fault.
+    bool resetConnection = false;
 };
 
 /// Decodes %XX. Bad escapes stay as they are.
--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -285,6 +285,13 @@
     const bool isHead = parser.get().method() == http::verb::head;
     stream.expires_never();
     HttpResponse served = handler(toRequest(parser.release()));
+    if (served.resetConnection) {
+        // A linger time of zero makes close() send a reset.
+        beast::error_code ec;
+        stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+        stream.socket().close(ec);
+        return false;
+    }
     if (isHead) {
         // An answer to HEAD has no body; without this the next answer would be misread.
         served.body.clear();
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/json/stream_parser.hpp>
-#include <fstream>
 #include <set>
-#include <sstream>
 
+#include "rattandock/adapters/json_document.hpp"
 #include "rattandock/adapters/json_object_reader.hpp"
 
 namespace rattandock::adapters {
@@ -203,38 +201,17 @@
                    [&](JsonObjectReader &item) { settings.teams.push_back(readTeam(item)); });
 }
 
-std::string lineOf(std::string_view text, std::size_t offset)
-{
-    const auto head = text.substr(0, std::min(offset, text.size()));
-    return std::to_string(1 + std::ranges::count(head, '\n'));
-}
-
 } // namespace
 
 Checked<Settings> parseSettings(std::string_view text, const std::string &file)
 {
-    json::parse_options options;
-    options.allow_comments = true;
-    options.allow_trailing_commas = true;
-    json::stream_parser parser{{}, options};
-    json::error_code ec;
-    const std::size_t used = parser.write_some(text.data(), text.size(), ec);
-    if (!ec && used == text.size()) {
-        parser.finish(ec);
+    const auto document = parseJsonDocument(text, file);
+    if (!document) {
+        return document.error();
     }
     Findings findings;
-    if (ec || used != text.size()) {
-        findings.add(file + ':' + lineOf(text, used),
-                     ec ? "is not valid JSON: " + ec.message() : "has text after the object");
-        return findings;
-    }
-    const json::value value = parser.release();
-    if (!value.is_object()) {
-        findings.add(file + ":1", "must be an object");
-        return findings;
-    }
     Settings settings;
-    JsonObjectReader reader{value.get_object(), "$", findings};
+    JsonObjectReader reader{document.value(), "$", findings};
     readSettings(reader, settings);
     reader.reportUnknownKeys();
     reportDoubledIds(settings, findings);
@@ -242,11 +219,7 @@
     if (findings.empty()) {
         return settings;
     }
-    Findings placed;
-    for (const Finding &it : findings.items()) {
-        placed.add(file + ": " + it.place, it.message);
-    }
-    return placed;
+    return withFile(findings, file);
 }
 
 std::vector<std::string> settingsKeys()
@@ -270,15 +243,11 @@
 
 Checked<Settings> loadSettings(const std::string &file)
 {
-    std::ifstream in{file};
-    if (!in) {
-        Findings findings;
-        findings.add(file, "cannot be read");
-        return findings;
+    const auto text = readTextFile(file);
+    if (!text) {
+        return text.error();
     }
-    std::stringstream text;
-    text << in.rdbuf();
-    return parseSettings(text.str(), file);
+    return parseSettings(text.value(), file);
 }
 
 } // namespace rattandock::adapters
--- a/src/standins/upstream/main.cpp
+++ b/src/standins/upstream/main.cpp
@@ -1,98 +1,97 @@
-#include <atomic>
-#include <boost/fiber/operations.hpp>
-#include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
-#include <memory>
-#include <vector>
 
-#include "rattandock/adapters/http_server.hpp"
+#include "rattandock/adapters/json_document.hpp"
+#include "rattandock/app/exit_code.hpp"
+#include "standins/stop_signals.hpp"
+#include "standins/upstream/upstream_fleet.hpp"
 
 using namespace rattandock;
-using namespace rattandock::adapters;
+using namespace rattandock::standins;
 
 namespace {
 
-/// Runs tasks on one port by sleeping for their estimate.
-class StandinUpstream
+cxxopts::Options commandLine()
 {
-public:
-    explicit StandinUpstream(unsigned slots)
-        : m_slots(slots)
-    {
+    cxxopts::Options options{"upstream-standin", "Many upstreams on loopback ports, for tests."};
+    options.add_options()("s,settings", "settings file, JSON with comments",
+                          cxxopts::value<std::string>())("first-port", "port of the first upstream",
+                                                         cxxopts::value<std::uint16_t>())(
+            "count", "number of upstreams", cxxopts::value<std::uint16_t>())(
+            "slots", "slots of each", cxxopts::value<std::uint32_t>())(
+            "start-log", "file that gets a line per started task", cxxopts::value<std::string>())(
+            "check-settings", "report every fault of the settings and exit")(
+            "version", "print the version")("h,help", "print this help");
+    return options;
+}
+
+template <typename T>
+void takeOption(const cxxopts::ParseResult &arguments, const std::string &option, T &into)
+{
+    if (arguments.count(option) > 0) {
+        into = arguments[option].as<T>();
     }
+}
 
-    HttpResponse serve(const HttpRequest &request)
-    {
-        HttpResponse response;
-        response.headers.emplace_back("Rattandock-Attempt", request.header("Rattandock-Attempt"));
-        if (++m_running > m_slots) {
-            --m_running;
-            response.status = 503;
-            response.headers.emplace_back("Rattandock-Not-Started", "true");
-            return response;
+Checked<UpstreamStandinSettings> settingsFrom(const cxxopts::ParseResult &arguments)
+{
+    UpstreamStandinSettings settings;
+    if (arguments.count("settings") > 0) {
+        const auto file = arguments["settings"].as<std::string>();
+        const auto text = adapters::readTextFile(file);
+        if (!text) {
+            return text.error();
+        }
+        const auto parsed = parseUpstreamSettings(text.value(), file);
+        if (!parsed) {
+            return parsed.error();
         }
-        const std::string &estimate = request.header("Rattandock-Estimate-Ms");
-        boost::this_fiber::sleep_for(
-                std::chrono::milliseconds{estimate.empty() ? 0 : std::stoll(estimate)});
-        --m_running;
-        response.body = "done:" + request.body;
-        return response;
+        settings = parsed.value();
     }
-
-private:
-    const unsigned m_slots;
-    std::atomic<unsigned> m_running = 0;
-};
+    takeOption(arguments, "first-port", settings.firstPort);
+    takeOption(arguments, "count", settings.count);
+    takeOption(arguments, "slots", settings.slots);
+    takeOption(arguments, "start-log", settings.startLog);
+    if (auto findings = checkUpstreamSettings(settings); !findings.empty()) {
+        return findings;
+    }
+    return settings;
+}
 
 int run(int argc, char **argv)
 {
-    cxxopts::Options options{"upstream-standin", "Many upstreams on loopback ports, for tests."};
-    options.add_options()("first-port", "port of the first upstream",
-                          cxxopts::value<std::uint16_t>()->default_value("7300"))(
-            "count", "number of upstreams", cxxopts::value<unsigned>()->default_value("4"))(
-            "slots", "slots of each", cxxopts::value<unsigned>()->default_value("8"))(
-            "version", "print the version")("h,help", "print this help");
+    auto options = commandLine();
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0) {
         std::cout << options.help();
-        return 0;
+        return app::exitOk;
     }
     if (arguments.count("version") > 0) {
         std::cout << "upstream-standin " RATTANDOCK_VERSION "\n";
-        return 0;
+        return app::exitOk;
     }
-    sigset_t stopSignals;
-    sigemptyset(&stopSignals);
-    sigaddset(&stopSignals, SIGTERM);
-    sigaddset(&stopSignals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
-    IoThreads threads{2};
-    std::vector<std::unique_ptr<StandinUpstream>> upstreams;
-    std::vector<std::unique_ptr<HttpServer>> servers;
-    for (unsigned n = 0; n < arguments["count"].as<unsigned>(); ++n) {
-        auto &upstream = upstreams.emplace_back(
-                std::make_unique<StandinUpstream>(arguments["slots"].as<unsigned>()));
-        const auto port =
-                static_cast<std::uint16_t>(arguments["first-port"].as<std::uint16_t>() + n);
-        auto server = HttpServer::listen(
-                threads, {boost::asio::ip::make_address("127.0.0.1"), port}, {},
-                [it = upstream.get()](const HttpRequest &request) { return it->serve(request); },
-                [](std::string_view) {});
-        if (!server) {
-            std::cerr << "upstream-standin: port " << port << ": " << server.error().message()
-                      << "\n";
-            return 1;
-        }
-        servers.push_back(std::move(server.value()));
+    if (!arguments.unmatched().empty()) {
+        std::cerr << "upstream-standin: unknown argument; see --help\n";
+        return app::exitUsage;
+    }
+    const auto settings = settingsFrom(arguments);
+    if (!settings) {
+        std::cerr << describe(settings.error());
+        return app::exitSettings;
+    }
+    if (arguments.count("check-settings") > 0) {
+        std::cout << "settings are valid\n";
+        return app::exitOk;
     }
-    int signal = 0;
-    sigwait(&stopSignals, &signal);
-    for (const auto &it : servers) {
-        it->stop();
+    const StopSignals stopSignals;
+    auto fleet = UpstreamFleet::start(settings.value());
+    if (!fleet) {
+        std::cerr << describe(fleet.error());
+        return app::exitFailed;
     }
-    threads.stop();
-    return 0;
+    stopSignals.wait();
+    fleet.value()->stop();
+    return app::exitOk;
 }
 
 } // namespace
@@ -103,6 +102,6 @@
         return run(argc, argv);
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "upstream-standin: " << error.what() << "\n";
-        return 2;
+        return app::exitUsage;
     }
 }
