--- a/include/rattandock/adapters/json_object_reader.hpp
+++ b/include/rattandock/adapters/json_object_reader.hpp
@@ -27,6 +27,8 @@
     std::optional<double> number(std::string_view key, double min, double max);
     std::optional<bool> boolean(std::string_view key);
     const boost::json::object *object(std::string_view key);
+    /// True if the key is present with the value null.
+    bool isNull(std::string_view key);
 
     /// Calls the function with a reader for each object of the array, in order.
     /// False if the key is absent or the array's size is out of bounds.
--- a/src/rattandock/adapters/json_object_reader.cpp
+++ b/src/rattandock/adapters/json_object_reader.cpp
@@ -107,6 +107,12 @@
     return &found->get_object();
 }
 
+bool JsonObjectReader::isNull(std::string_view key)
+{
+    const auto *found = value(key);
+    return found != nullptr && found->is_null();
+}
+
 bool JsonObjectReader::objects(std::string_view key, std::size_t minSize, std::size_t maxSize,
                                const std::function<void(JsonObjectReader &item)> &read)
 {
