--- a/src/standins/upstream/standin_upstream_test.cpp
+++ b/src/standins/upstream/standin_upstream_test.cpp
@@ -216,4 +216,17 @@
                   "a.json: $.count: must leave the last port at or below 65535\n");
 }
 
+// Guards against settings that a script hands from a scenario to the stand-in changed.
+BOOST_AUTO_TEST_CASE(settingsSurviveTheirText)
+{
+    UpstreamStandinSettings settings;
+    settings.firstPort = 7510;
+    settings.startLog = "starts.log";
+    settings.runTime = {2.5, 0.25, 0.125, 8.0, 4.0, 77};
+    const auto read = parseUpstreamSettings(formatUpstreamSettings(settings), "text");
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read.value().startLog == "starts.log");
+    BOOST_TEST(formatUpstreamSettings(read.value()) == formatUpstreamSettings(settings));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/standins/upstream/upstream_settings.cpp
+++ b/src/standins/upstream/upstream_settings.cpp
@@ -1,5 +1,7 @@
 #include "standins/upstream/upstream_settings.hpp"
 
+#include <boost/json/serialize.hpp>
+
 #include "rattandock/adapters/json_document.hpp"
 
 namespace rattandock::standins {
@@ -94,4 +96,27 @@
     return settings;
 }
 
+std::string formatUpstreamSettings(const UpstreamStandinSettings &settings)
+{
+    namespace json = boost::json;
+    const RunTimeModel &model = settings.runTime;
+    json::object object{{"address", settings.address.to_string()},
+                        {"firstPort", settings.firstPort},
+                        {"count", settings.count},
+                        {"slots", settings.slots},
+                        {"ioThreads", settings.ioThreads},
+                        {"maxConnections", settings.maxConnections},
+                        {"runTime",
+                         {{"factor", model.factor},
+                          {"jitter", model.jitter},
+                          {"stragglerShare", model.stragglerShare},
+                          {"stragglerFactor", model.stragglerFactor},
+                          {"speedSpread", model.speedSpread},
+                          {"seed", model.seed}}}};
+    if (!settings.startLog.empty()) {
+        object["startLog"] = settings.startLog;
+    }
+    return json::serialize(object) + '\n';
+}
+
 } // namespace rattandock::standins
--- a/src/standins/upstream/upstream_settings.hpp
+++ b/src/standins/upstream/upstream_settings.hpp
@@ -33,6 +33,9 @@
 Checked<UpstreamStandinSettings> parseUpstreamSettings(std::string_view text,
                                                        const std::string &file);
 
+/// The settings as one line that parseUpstreamSettings() reads.
+std::string formatUpstreamSettings(const UpstreamStandinSettings &settings);
+
 /// Faults that stand between keys, such as a port range that ends above 65535.
 Findings checkUpstreamSettings(const UpstreamStandinSettings &settings);
 
