--- a/include/rattandock/adapters/io_threads.hpp
+++ b/include/rattandock/adapters/io_threads.hpp
@@ -24,6 +24,8 @@
     std::size_t count() const { return m_threads.size(); }
     /// Index of the calling thread. Precondition: it is one of an IoThreads.
     static std::size_t current();
+    /// The io_context of the calling thread. Precondition: it is one of an IoThreads.
+    static boost::asio::io_context &currentIo();
     boost::asio::io_context &io(std::size_t thread) { return m_threads[thread]->io; }
 
     /// Runs the function as a new fiber of the given thread.
--- a/src/rattandock/adapters/io_threads.cpp
+++ b/src/rattandock/adapters/io_threads.cpp
@@ -4,6 +4,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
+#include <cassert>
 #include <future>
 
 #include "rattandock/adapters/fiber_scheduler.hpp"
@@ -16,6 +17,7 @@
 constexpr std::size_t stackBytes = 64U << 10U;
 
 thread_local std::size_t currentThread = 0;
+thread_local boost::asio::io_context *currentContext = nullptr;
 
 } // namespace
 
@@ -34,6 +36,7 @@
         std::promise<void> ready;
         thread.thread = std::thread([n, &thread, &ready] {
             currentThread = n;
+            currentContext = &thread.io;
             boost::fibers::use_scheduling_algorithm<FiberScheduler>(thread.io);
             awaitIo([&thread, &ready](auto handler) {
                 thread.requestStop = [handler]() mutable { handler({}); };
@@ -49,6 +52,12 @@
     return currentThread;
 }
 
+boost::asio::io_context &IoThreads::currentIo()
+{
+    assert(currentContext != nullptr);
+    return *currentContext;
+}
+
 IoThreads::~IoThreads()
 {
     stop();
