Forward submissions to the home of their token

A submission at another entry VM was answered unknown (home-lost) even with the home alive. It now goes to the home with ForwardJob when the link is up and the last heartbeat named the token's incarnation, and comes back as ForwardedAnswer.

The home checks the expected incarnation itself. A request is answered unknown (home-unreachable) when the link changes state first or when no answer came by its deadline plus forwardMargin (2 s). Forward numbers start at the random incarnation, so an answer to an earlier run of the VM matches no pending request. Submission and peer handling move out of dispatcher.cpp.

--- a/include/rattandock/core/action.hpp
+++ b/include/rattandock/core/action.hpp
@@ -51,6 +51,7 @@
     JobJoined,
     JobRefused,
     JobEnded,
+    JobForwarded,
     TaskPlaced,
     TaskResent,
     UpstreamSetAside,
@@ -63,7 +64,7 @@
     KeyRangeChanged,
     ConfigurationInForce,
 };
-inline constexpr std::size_t noteKindCount = 15;
+inline constexpr std::size_t noteKindCount = 16;
 
 std::string_view name(NoteKind kind);
 
--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -10,8 +10,11 @@
 #include "rattandock/core/action.hpp"
 #include "rattandock/core/dispatcher_options.hpp"
 #include "rattandock/core/event.hpp"
+#include "rattandock/core/forward_table.hpp"
 #include "rattandock/core/home_token.hpp"
 #include "rattandock/core/job_table.hpp"
+#include "rattandock/core/peer_table.hpp"
+#include "rattandock/core/safety_rules.hpp"
 #include "rattandock/core/scheduler.hpp"
 
 namespace rattandock::core {
@@ -44,7 +47,8 @@
 class Dispatcher
 {
 public:
-    Dispatcher(DispatcherOptions options, std::uint64_t seed);
+    /// Only tests pass rules.
+    Dispatcher(DispatcherOptions options, std::uint64_t seed, const SafetyRules &rules = {});
 
     /// Appends the actions that follow from the event.
     void handle(const Event &event, TimePoint now, Actions &actions);
@@ -79,10 +83,20 @@
     void on(const DrainRequested &event, TimePoint now, Actions &actions);
     void on(const TimerFired &event, TimePoint now, Actions &actions);
 
-    void submitHere(const JobSubmitted &event, const std::optional<HomeJobId> &home, TimePoint now,
-                    Actions &actions);
-    void refuse(const JobSubmitted &event, NotRun refusal, TimePoint forgetAt, TimePoint now,
-                Actions &actions);
+    /// Starts, joins, forwards or refuses a submission. One from a peer is never forwarded again.
+    void submit(const Requester &from, const JobSpec &job, TimePoint now, Actions &actions);
+    void submitHere(const Requester &from, const JobSpec &job, const std::optional<HomeJobId> &home,
+                    TimePoint now, Actions &actions);
+    /// The answer to an id without a record, if its token alone decides it.
+    std::optional<JobOutcome> outcomeByToken(const HomeToken &token, TimePoint now) const;
+    void forward(const Requester &from, const JobSpec &job, const VmId &peer, Incarnation expected,
+                 TimePoint now, Actions &actions);
+    static void answer(const Requester &to, const JobId &job, JobOutcome outcome, Actions &actions);
+    void refuse(const Requester &from, const JobSpec &job, NotRun refusal, TimePoint forgetAt,
+                TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const Heartbeat &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const ForwardJob &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const ForwardedAnswer &message, TimePoint now, Actions &actions);
     void completeAttempt(const Attempt &attempt, const AttemptResult &result, TimePoint now,
                          Actions &actions);
     /// Ends a job that cannot complete: not run if no task started, else failed.
@@ -94,8 +108,11 @@
     void finishDrain(Actions &actions);
 
     DispatcherOptions m_options;
+    SafetyRules m_rules;
     TokenAuthority m_tokens;
     JobTable m_jobs;
+    PeerTable m_peers;
+    ForwardTable m_forwards;
     Scheduler m_scheduler;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<CallerRequestId, JobHandle> m_requests;
--- a/include/rattandock/core/dispatcher_options.hpp
+++ b/include/rattandock/core/dispatcher_options.hpp
@@ -25,6 +25,8 @@
     Duration recordGrace = 60s;
     /// A key-form caller may resubmit a key this long.
     Duration keyValidity = 600s;
+    /// A forwarded request waits this much longer than its deadline for the home's answer.
+    Duration forwardMargin = 2s;
     std::size_t maxRecords = 500'000;
     /// Answer bodies of finished jobs that are kept for resubmissions.
     Bytes answerStore{64U << 20U};
--- a/include/rattandock/core/job_table.hpp
+++ b/include/rattandock/core/job_table.hpp
@@ -9,6 +9,7 @@
 #include "rattandock/core/job_handle.hpp"
 #include "rattandock/core/job_outcome.hpp"
 #include "rattandock/core/job_spec.hpp"
+#include "rattandock/core/requester.hpp"
 
 namespace rattandock::core {
 
@@ -24,7 +25,7 @@
     std::vector<TaskState> states;
     std::vector<std::string> results;
     std::size_t doneCount = 0;
-    std::vector<CallerRequestId> waiting;
+    std::vector<Requester> waiting;
     std::optional<JobOutcome> outcome;
     TimePoint accepted;
     TimePoint deadline;
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -6,19 +6,12 @@
 
 namespace rattandock::core {
 
-namespace {
-
-Note noteFor(NoteKind kind, std::string_view reason, const JobId &job, std::string detail = {})
-{
-    return Note{kind, reason, job, std::move(detail)};
-}
-
-} // namespace
-
-Dispatcher::Dispatcher(DispatcherOptions options, std::uint64_t seed)
+Dispatcher::Dispatcher(DispatcherOptions options, std::uint64_t seed, const SafetyRules &rules)
     : m_options(std::move(options))
+    , m_rules(rules)
     , m_tokens(m_options.vm, m_options.incarnation, m_options.tokenLifetime, m_options.tokenSecret)
     , m_jobs(m_options.maxRecords, m_options.answerStore)
+    , m_forwards(m_options.incarnation)
     , m_scheduler(m_options, seed)
 {
 }
@@ -34,8 +27,14 @@
 std::optional<TimePoint> Dispatcher::nextTimer() const
 {
     std::optional<TimePoint> next = m_scheduler.nextTimer();
-    if (!m_deadlines.empty() && (!next || m_deadlines.begin()->first < *next)) {
-        next = m_deadlines.begin()->first;
+    const auto include = [&next](std::optional<TimePoint> time) {
+        if (time && (!next || *time < *next)) {
+            next = time;
+        }
+    };
+    include(m_forwards.nextTimer());
+    if (!m_deadlines.empty()) {
+        include(m_deadlines.begin()->first);
     }
     return next;
 }
@@ -59,92 +58,7 @@
 
 void Dispatcher::on(const JobSubmitted &event, TimePoint now, Actions &actions)
 {
-    const auto home = parseHomeJobId(event.job.id);
-    if (home && !m_tokens.isOwn(home->token)) {
-        actions.emplace_back(
-                AnswerCaller{event.request, event.job.id, Unknown{UnknownReason::HomeLost}});
-        return;
-    }
-    submitHere(event, home, now, actions);
-}
-
-void Dispatcher::submitHere(const JobSubmitted &event, const std::optional<HomeJobId> &home,
-                            TimePoint now, Actions &actions)
-{
-    const JobSpec &job = event.job;
-    if (const auto known = m_jobs.find(job.id)) {
-        JobRecord &record = m_jobs.at(*known);
-        if (record.digest != digestOf(job)) {
-            actions.emplace_back(AnswerCaller{event.request, job.id,
-                                              NotRun{RefusalReason::IdReused, std::nullopt}});
-            return;
-        }
-        actions.emplace_back(noteFor(NoteKind::JobJoined, "resubmission", job.id));
-        if (record.outcome) {
-            actions.emplace_back(AnswerCaller{event.request, job.id, *record.outcome});
-            return;
-        }
-        record.waiting.push_back(event.request);
-        m_requests.emplace(event.request, *known);
-        return;
-    }
-
-    TimePoint forgetAt = now + m_options.keyValidity;
-    if (home) {
-        const TimePoint expires = home->token.issued + m_options.tokenLifetime;
-        forgetAt = expires + m_options.recordGrace;
-        const auto answer = [&](JobOutcome outcome) {
-            actions.emplace_back(AnswerCaller{event.request, job.id, std::move(outcome)});
-        };
-        if (!m_tokens.isGenuine(home->token)) {
-            return answer(NotRun{RefusalReason::TokenForged, std::nullopt});
-        }
-        if (now >= forgetAt) {
-            return answer(Unknown{UnknownReason::TokenExpired});
-        }
-        if (now >= expires) {
-            return answer(NotRun{RefusalReason::TokenExpired, Duration{}});
-        }
-        if (home->token.issued <= m_revokedBefore) {
-            return answer(NotRun{RefusalReason::TokenRevoked, Duration{}});
-        }
-    }
-    if (m_jobs.full()) {
-        if (home) {
-            m_revokedBefore = now;
-            actions.emplace_back(
-                    AnswerCaller{event.request, job.id,
-                                 NotRun{RefusalReason::TokenRevoked, m_options.recordGrace}});
-        } else {
-            actions.emplace_back(
-                    AnswerCaller{event.request, job.id, Unknown{UnknownReason::RecordTableFull}});
-        }
-        return;
-    }
-    if (m_draining) {
-        return refuse(event, {RefusalReason::Draining, Duration{}}, forgetAt, now, actions);
-    }
-    if (const auto refusal = m_scheduler.refusalFor(job, now)) {
-        return refuse(event, *refusal, forgetAt, now, actions);
-    }
-    const JobHandle handle = m_jobs.add(job, now, forgetAt);
-    JobRecord &record = m_jobs.at(handle);
-    record.waiting.push_back(event.request);
-    m_requests.emplace(event.request, handle);
-    m_deadlines.emplace(record.deadline, handle);
-    m_scheduler.enqueue(handle, record.spec, now);
-    actions.emplace_back(noteFor(NoteKind::JobAccepted, home ? "home-form" : "key-form", job.id,
-                                 std::to_string(job.tasks.size()) + " tasks"));
-}
-
-void Dispatcher::refuse(const JobSubmitted &event, NotRun refusal, TimePoint forgetAt,
-                        TimePoint now, Actions &actions)
-{
-    // Recorded, so that a delayed copy of the submission cannot run after this answer.
-    const JobHandle handle = m_jobs.add(event.job, now, forgetAt);
-    m_jobs.at(handle).waiting.push_back(event.request);
-    actions.emplace_back(noteFor(NoteKind::JobRefused, name(refusal.reason), event.job.id));
-    endJob(handle, refusal, actions);
+    submit(event.request, event.job, now, actions);
 }
 
 void Dispatcher::on(const JobCancelled &event, TimePoint /*now*/, Actions &actions)
@@ -157,11 +71,12 @@
 
 void Dispatcher::on(const CallerLeft &event, TimePoint /*now*/, Actions & /*actions*/)
 {
+    m_forwards.drop(event.request);
     const auto it = m_requests.find(event.request);
     if (it == m_requests.end()) {
         return;
     }
-    std::erase(m_jobs.at(it->second).waiting, event.request);
+    std::erase(m_jobs.at(it->second).waiting, Requester{event.request});
     m_requests.erase(it);
 }
 
@@ -169,7 +84,7 @@
 {
     const auto it = m_attempts.find(event.attempt);
     if (it == m_attempts.end()) {
-        actions.emplace_back(noteFor(NoteKind::UnknownAttempt, "unknown-attempt", {}));
+        actions.emplace_back(Note{NoteKind::UnknownAttempt, "unknown-attempt", {}, {}});
         return;
     }
     const Attempt attempt = it->second;
@@ -207,8 +122,8 @@
             return;
         }
         actions.emplace_back(
-                noteFor(NoteKind::TaskResent, name(it.reason), record.id,
-                        "task " + std::to_string(index) + ", " + attempt.upstream.value()));
+                Note{NoteKind::TaskResent, name(it.reason), record.id,
+                     "task " + std::to_string(index) + ", " + attempt.upstream.value()});
     };
     const auto failed = [&](const AttemptFailed &it) {
         const auto reason = it.reason == AttemptFailure::BadStatus ? FailureReason::TaskFailed
@@ -216,6 +131,9 @@
                                     ? FailureReason::CrossedReply
                             : it.reason == AttemptFailure::TimedOut ? FailureReason::DeadlinePassed
                                                                     : FailureReason::ConnectionLost;
+        if (!m_rules.failAfterReset && it.reason == AttemptFailure::ConnectionLost) {
+            return notStarted({NotStartedReason::RequestNotWritten});
+        }
         giveUp(job, RefusalReason::Cancelled, reason, std::nullopt, actions);
     };
     std::visit(Overloaded{completed, notStarted, failed}, result);
@@ -242,14 +160,16 @@
 void Dispatcher::endJob(JobHandle job, JobOutcome outcome, Actions &actions)
 {
     JobRecord &record = m_jobs.at(job);
-    for (const CallerRequestId &it : record.waiting) {
-        actions.emplace_back(AnswerCaller{it, record.id, outcome});
-        m_requests.erase(it);
+    for (const Requester &it : record.waiting) {
+        answer(it, record.id, outcome, actions);
+        if (const auto *request = std::get_if<CallerRequestId>(&it)) {
+            m_requests.erase(*request);
+        }
     }
     record.waiting.clear();
     m_deadlines.erase({record.deadline, job});
-    actions.emplace_back(noteFor(NoteKind::JobEnded, name(outcome), record.id,
-                                 std::string{reasonName(outcome)}));
+    actions.emplace_back(
+            Note{NoteKind::JobEnded, name(outcome), record.id, std::string{reasonName(outcome)}});
     m_jobs.end(job, std::move(outcome));
 }
 
@@ -265,16 +185,10 @@
     }
     m_configuration = event.version;
     m_scheduler.configure(event.upstreams, event.teams, now);
-    actions.emplace_back(noteFor(NoteKind::ConfigurationInForce, "accepted", {},
-                                 "version " + std::to_string(event.version.value())));
-}
-
-void Dispatcher::on(const PeerMessageReceived & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
-{
-}
-
-void Dispatcher::on(const PeerLinkChanged & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
-{
+    actions.emplace_back(Note{NoteKind::ConfigurationInForce,
+                              "accepted",
+                              {},
+                              "version " + std::to_string(event.version.value())});
 }
 
 void Dispatcher::on(const DrainRequested & /*event*/, TimePoint /*now*/, Actions &actions)
@@ -304,6 +218,9 @@
         giveUp(m_deadlines.begin()->second, RefusalReason::DeadlinePassed,
                FailureReason::DeadlinePassed, Duration{}, actions);
     }
+    for (const PendingForward &it : m_forwards.takeExpired(now)) {
+        answer(it.request, it.job, Unknown{UnknownReason::HomeUnreachable}, actions);
+    }
     m_jobs.forgetUntil(now);
 }
 
@@ -318,9 +235,8 @@
         record.states[index] = TaskState::Sent;
         const AttemptId attempt{m_nextAttempt++};
         m_attempts.emplace(attempt, Attempt{it.task, it.upstream});
-        actions.emplace_back(
-                noteFor(NoteKind::TaskPlaced, it.reason, record.id,
-                        "task " + std::to_string(index) + " on " + it.upstream.value()));
+        actions.emplace_back(Note{NoteKind::TaskPlaced, it.reason, record.id,
+                                  "task " + std::to_string(index) + " on " + it.upstream.value()});
         actions.emplace_back(StartTask{attempt, record.id, it.task.task, it.upstream, task.estimate,
                                        task.payload, record.deadline});
     }
--- /dev/null
+++ b/src/rattandock/core/dispatcher_peers.cpp
@@ -0,0 +1,60 @@
+// How a Dispatcher handles peer links and peer messages.
+#include "rattandock/core/dispatcher.hpp"
+
+namespace rattandock::core {
+
+void Dispatcher::on(const PeerMessageReceived &event, TimePoint now, Actions &actions)
+{
+    std::visit(
+            [&](const auto &it) {
+                if constexpr (requires { onPeer(event.from, it, now, actions); }) {
+                    onPeer(event.from, it, now, actions);
+                } else {
+                    actions.emplace_back(Note{NoteKind::PeerMessageRefused,
+                                              name(event.message),
+                                              {},
+                                              event.from.value()});
+                }
+            },
+            event.message);
+}
+
+void Dispatcher::on(const PeerLinkChanged &event, TimePoint /*now*/, Actions &actions)
+{
+    m_peers.setLink(event.peer, event.up);
+    // Also when the link comes up: a request sent before was lost with the earlier connection.
+    for (const PendingForward &it : m_forwards.takeAllOf(event.peer)) {
+        answer(it.request, it.job, Unknown{UnknownReason::HomeUnreachable}, actions);
+    }
+}
+
+void Dispatcher::onPeer(const VmId &from, const Heartbeat &message, TimePoint /*now*/,
+                        Actions & /*actions*/)
+{
+    m_peers.see(from, message);
+}
+
+void Dispatcher::onPeer(const VmId &from, const ForwardJob &message, TimePoint now,
+                        Actions &actions)
+{
+    const PeerRequest request{from, message.forwardNumber};
+    const auto home = parseHomeJobId(message.job.id);
+    const Incarnation answering = home ? home->token.incarnation : m_options.incarnation;
+    if (message.expectedIncarnation != answering) {
+        return answer(request, message.job.id, Unknown{UnknownReason::HomeLost}, actions);
+    }
+    submit(request, message.job, now, actions);
+}
+
+void Dispatcher::onPeer(const VmId &from, const ForwardedAnswer &message, TimePoint /*now*/,
+                        Actions &actions)
+{
+    if (const auto pending = m_forwards.take(message.forwardNumber, from)) {
+        answer(pending->request, pending->job, message.outcome, actions);
+    } else {
+        actions.emplace_back(
+                Note{NoteKind::PeerMessageRefused, "unknown-forward", {}, from.value()});
+    }
+}
+
+} // namespace rattandock::core
--- /dev/null
+++ b/src/rattandock/core/dispatcher_submit.cpp
@@ -0,0 +1,133 @@
+// How a Dispatcher routes, accepts and refuses submissions.
+#include "rattandock/base/overloaded.hpp"
+#include "rattandock/core/dispatcher.hpp"
+
+namespace rattandock::core {
+
+void Dispatcher::submit(const Requester &from, const JobSpec &job, TimePoint now, Actions &actions)
+{
+    const auto home = parseHomeJobId(job.id);
+    if (!home || m_tokens.isOwn(home->token)) {
+        return submitHere(from, job, home, now, actions);
+    }
+    const Incarnation expected = home->token.incarnation;
+    if (std::holds_alternative<PeerRequest>(from) || home->token.vm == m_options.vm) {
+        return answer(from, job.id, Unknown{UnknownReason::HomeLost}, actions);
+    }
+    const auto seen = m_peers.incarnation(home->token.vm);
+    if (seen == expected) {
+        return forward(from, job, home->token.vm, expected, now, actions);
+    }
+    answer(from, job.id, Unknown{seen ? UnknownReason::HomeLost : UnknownReason::HomeUnreachable},
+           actions);
+}
+
+void Dispatcher::forward(const Requester &from, const JobSpec &job, const VmId &peer,
+                         Incarnation expected, TimePoint now, Actions &actions)
+{
+    const std::uint64_t number = m_forwards.add({std::get<CallerRequestId>(from), job.id, peer,
+                                                 now + job.deadline + m_options.forwardMargin});
+    actions.emplace_back(Note{NoteKind::JobForwarded, "home-form", job.id, peer.value()});
+    actions.emplace_back(SendToPeer{peer, ForwardJob{number, expected, job}});
+}
+
+void Dispatcher::answer(const Requester &to, const JobId &job, JobOutcome outcome, Actions &actions)
+{
+    std::visit(
+            Overloaded{[&](const CallerRequestId &it) {
+                           actions.emplace_back(AnswerCaller{it, job, std::move(outcome)});
+                       },
+                       [&](const PeerRequest &it) {
+                           actions.emplace_back(SendToPeer{
+                                   it.peer, ForwardedAnswer{it.forwardNumber, std::move(outcome)}});
+                       }},
+            to);
+}
+
+std::optional<JobOutcome> Dispatcher::outcomeByToken(const HomeToken &token, TimePoint now) const
+{
+    const TimePoint expires = token.issued + m_options.tokenLifetime;
+    if (!m_tokens.isGenuine(token)) {
+        return NotRun{RefusalReason::TokenForged, std::nullopt};
+    }
+    if (now >= expires + m_options.recordGrace) {
+        return Unknown{UnknownReason::TokenExpired};
+    }
+    if (now >= expires) {
+        return NotRun{RefusalReason::TokenExpired, Duration{}};
+    }
+    if (token.issued <= m_revokedBefore) {
+        return NotRun{RefusalReason::TokenRevoked, Duration{}};
+    }
+    return std::nullopt;
+}
+
+void Dispatcher::submitHere(const Requester &from, const JobSpec &job,
+                            const std::optional<HomeJobId> &home, TimePoint now, Actions &actions)
+{
+    if (const auto known = m_jobs.find(job.id)) {
+        JobRecord &record = m_jobs.at(*known);
+        if (record.digest != digestOf(job)) {
+            return answer(from, job.id, NotRun{RefusalReason::IdReused, std::nullopt}, actions);
+        }
+        actions.emplace_back(Note{NoteKind::JobJoined, "resubmission", job.id, {}});
+        if (record.outcome) {
+            return answer(from, job.id, *record.outcome, actions);
+        }
+        record.waiting.push_back(from);
+        if (const auto *request = std::get_if<CallerRequestId>(&from)) {
+            m_requests.emplace(*request, *known);
+        }
+        return;
+    }
+
+    TimePoint forgetAt = now + m_options.keyValidity;
+    if (home) {
+        if (const auto outcome = outcomeByToken(home->token, now)) {
+            return answer(from, job.id, *outcome, actions);
+        }
+        forgetAt = home->token.issued + m_options.tokenLifetime + m_options.recordGrace;
+    }
+    if (!m_rules.keepRecords) {
+        forgetAt = now;
+    }
+    if (m_jobs.full()) {
+        if (!home) {
+            return answer(from, job.id, Unknown{UnknownReason::RecordTableFull}, actions);
+        }
+        m_revokedBefore = now;
+        return answer(from, job.id, NotRun{RefusalReason::TokenRevoked, m_options.recordGrace},
+                      actions);
+    }
+    if (m_draining) {
+        return refuse(from, job, {RefusalReason::Draining, Duration{}}, forgetAt, now, actions);
+    }
+    if (const auto refusal = m_scheduler.refusalFor(job, now)) {
+        return refuse(from, job, *refusal, forgetAt, now, actions);
+    }
+    const JobHandle handle = m_jobs.add(job, now, forgetAt);
+    JobRecord &record = m_jobs.at(handle);
+    record.waiting.push_back(from);
+    if (const auto *request = std::get_if<CallerRequestId>(&from)) {
+        m_requests.emplace(*request, handle);
+    }
+    m_deadlines.emplace(record.deadline, handle);
+    m_scheduler.enqueue(handle, record.spec, now);
+    actions.emplace_back(Note{NoteKind::JobAccepted, home ? "home-form" : "key-form", job.id,
+                              std::to_string(job.tasks.size()) + " tasks"});
+}
+
+void Dispatcher::refuse(const Requester &from, const JobSpec &job, NotRun refusal,
+                        TimePoint forgetAt, TimePoint now, Actions &actions)
+{
+    actions.emplace_back(Note{NoteKind::JobRefused, name(refusal.reason), job.id, {}});
+    if (!m_rules.recordRefusals) {
+        return answer(from, job.id, refusal, actions);
+    }
+    // Recorded, so that a delayed copy of the submission cannot run after this answer.
+    const JobHandle handle = m_jobs.add(job, now, forgetAt);
+    m_jobs.at(handle).waiting.push_back(from);
+    endJob(handle, refusal, actions);
+}
+
+} // namespace rattandock::core
