Forget stored answers without a scan and record cancels of unseen ids

Forgetting a record scanned all stored answers, so dropping n records cost n squared. A record now keeps its position among the stored answers. A planned stop looks only at open jobs.

A cancel that overtook its submission had no effect, and the job ran when the submission arrived. The home now records the refusal; when the table is full it revokes the tokens issued so far instead. A cancel at another VM than the home is still ignored.

--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -89,6 +89,8 @@
                     TimePoint now, Actions &actions);
     /// The answer to an id without a record, if its token alone decides it.
     std::optional<JobOutcome> outcomeByToken(const HomeToken &token, TimePoint now) const;
+    /// Refuses an id that no submission of has arrived yet, so that a delayed one does not run.
+    void cancelUnseen(const JobId &job, TimePoint now, Actions &actions);
     void forward(const Requester &from, const JobSpec &job, const VmId &peer, Incarnation expected,
                  TimePoint now, Actions &actions);
     static void answer(const Requester &to, const JobId &job, JobOutcome outcome, Actions &actions);
--- a/include/rattandock/core/job_table.hpp
+++ b/include/rattandock/core/job_table.hpp
@@ -19,7 +19,8 @@
 struct JobRecord
 {
     JobId id;
-    SpecDigest digest;
+    /// Nothing if the id was cancelled before any submission of it arrived.
+    std::optional<SpecDigest> digest;
     /// Tasks and payloads; emptied when the job has ended.
     JobSpec spec;
     std::vector<TaskState> states;
@@ -31,6 +32,8 @@
     TimePoint deadline;
     /// The record may be dropped from then on.
     TimePoint forgetAt;
+    /// Position among the stored answers, if it has one.
+    std::optional<std::uint64_t> storedAnswer;
 };
 
 /// Job records of this incarnation, addressed by handle and found by id.
@@ -47,6 +50,10 @@
     /// Precondition: no record has this id and the table is not full.
     JobHandle add(JobSpec job, TimePoint now, TimePoint forgetAt);
 
+    /// Records an outcome for an id of which no submission arrived.
+    /// Precondition: no record has this id and the table is not full.
+    JobHandle addEnded(const JobId &id, JobOutcome outcome, TimePoint now, TimePoint forgetAt);
+
     /// Precondition: the handle is from this table and not forgotten.
     JobRecord &at(JobHandle job);
     const JobRecord &at(JobHandle job) const;
@@ -66,6 +73,8 @@
     const std::map<JobHandle, JobRecord> &records() const { return m_records; }
 
 private:
+    JobHandle insert(JobRecord record);
+    void dropStoredAnswer(JobRecord &record);
     void evictAnswers();
 
     std::size_t m_maxRecords;
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -61,10 +61,13 @@
     submit(event.request, event.job, now, actions);
 }
 
-void Dispatcher::on(const JobCancelled &event, TimePoint /*now*/, Actions &actions)
+void Dispatcher::on(const JobCancelled &event, TimePoint now, Actions &actions)
 {
     const auto job = m_jobs.find(event.job);
-    if (job && !m_jobs.at(*job).outcome) {
+    if (!job) {
+        return cancelUnseen(event.job, now, actions);
+    }
+    if (!m_jobs.at(*job).outcome) {
         giveUp(*job, RefusalReason::Cancelled, FailureReason::Cancelled, std::nullopt, actions);
     }
 }
@@ -198,8 +201,8 @@
     }
     m_draining = true;
     std::vector<JobHandle> unstarted;
-    for (const auto &[handle, record] : m_jobs.records()) {
-        if (!record.outcome && JobTable::startedTasks(record).empty()) {
+    for (const auto &[deadline, handle] : m_deadlines) {
+        if (JobTable::startedTasks(m_jobs.at(handle)).empty()) {
             unstarted.push_back(handle);
         }
     }
--- a/src/rattandock/core/dispatcher_submit.cpp
+++ b/src/rattandock/core/dispatcher_submit.cpp
@@ -67,7 +67,7 @@
 {
     if (const auto known = m_jobs.find(job.id)) {
         JobRecord &record = m_jobs.at(*known);
-        if (record.digest != digestOf(job)) {
+        if (record.digest && record.digest != digestOf(job)) {
             return answer(from, job.id, NotRun{RefusalReason::IdReused, std::nullopt}, actions);
         }
         actions.emplace_back(Note{NoteKind::JobJoined, "resubmission", job.id, {}});
@@ -130,4 +130,24 @@
     endJob(handle, refusal, actions);
 }
 
+void Dispatcher::cancelUnseen(const JobId &job, TimePoint now, Actions &actions)
+{
+    const auto home = parseHomeJobId(job);
+    if (home && (!m_tokens.isOwn(home->token) || outcomeByToken(home->token, now))) {
+        return;
+    }
+    if (m_jobs.full()) {
+        if (home) {
+            m_revokedBefore = now;
+        }
+        return;
+    }
+    const TimePoint forgetAt =
+            home ? home->token.issued + m_options.tokenLifetime + m_options.recordGrace
+                 : now + m_options.keyValidity;
+    const NotRun outcome{RefusalReason::Cancelled, std::nullopt};
+    m_jobs.addEnded(job, outcome, now, forgetAt);
+    actions.emplace_back(Note{NoteKind::JobRefused, name(outcome.reason), job, "not seen yet"});
+}
+
 } // namespace rattandock::core
--- a/src/rattandock/core/dispatcher_test.cpp
+++ b/src/rattandock/core/dispatcher_test.cpp
@@ -121,4 +121,34 @@
     BOOST_TEST((answers[0].outcome == expected));
 }
 
+// Guards against a delayed submission that runs after its job was cancelled.
+BOOST_AUTO_TEST_CASE(cancelBeforeTheSubmissionIsRecorded)
+{
+    const JobSpec submitted = job("a", 1);
+    send(JobCancelled{submitted.id});
+    send(JobSubmitted{CallerRequestId{1}, submitted});
+    BOOST_TEST(take<StartTask>().empty());
+    const auto answers = take<AnswerCaller>();
+    BOOST_REQUIRE_EQUAL(answers.size(), 1);
+    const JobOutcome expected = NotRun{RefusalReason::Cancelled, std::nullopt};
+    BOOST_TEST((answers[0].outcome == expected));
+}
+
+// Guards against a job that stops when its caller's connection closes.
+BOOST_AUTO_TEST_CASE(jobRunsOnWhenItsCallerLeaves)
+{
+    const JobSpec submitted = job("a", 1);
+    send(JobSubmitted{CallerRequestId{1}, submitted});
+    send(CallerLeft{CallerRequestId{1}});
+    const auto starts = take<StartTask>();
+    BOOST_REQUIRE_EQUAL(starts.size(), 1);
+    BOOST_TEST(take<StopTask>().empty());
+    send(AttemptEnded{starts[0].attempt, AttemptCompleted{"x"}, 100ms, false});
+    send(JobSubmitted{CallerRequestId{2}, submitted});
+    const auto answers = take<AnswerCaller>();
+    BOOST_REQUIRE_EQUAL(answers.size(), 1);
+    BOOST_TEST((answers[0].request == CallerRequestId{2}));
+    BOOST_TEST((answers[0].outcome == JobOutcome{Complete{{"x"}}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/core/job_table.cpp
+++ b/src/rattandock/core/job_table.cpp
@@ -42,7 +42,6 @@
 JobHandle JobTable::add(JobSpec job, TimePoint now, TimePoint forgetAt)
 {
     assert(!full() && !find(job.id));
-    const JobHandle handle{m_nextHandle++};
     JobRecord record;
     record.id = job.id;
     record.digest = digestOf(job);
@@ -52,8 +51,26 @@
     record.deadline = now + job.deadline;
     record.forgetAt = forgetAt;
     record.spec = std::move(job);
+    return insert(std::move(record));
+}
+
+JobHandle JobTable::addEnded(const JobId &id, JobOutcome outcome, TimePoint now, TimePoint forgetAt)
+{
+    assert(!full() && !find(id));
+    JobRecord record;
+    record.id = id;
+    record.accepted = now;
+    record.deadline = now;
+    record.forgetAt = forgetAt;
+    record.outcome = std::move(outcome);
+    return insert(std::move(record));
+}
+
+JobHandle JobTable::insert(JobRecord record)
+{
+    const JobHandle handle{m_nextHandle++};
     m_byId.emplace(record.id, handle);
-    m_byForgetTime.emplace(forgetAt, handle);
+    m_byForgetTime.emplace(record.forgetAt, handle);
     m_records.emplace(handle, std::move(record));
     return handle;
 }
@@ -74,7 +91,8 @@
     assert(!record.outcome);
     if (const std::uint64_t n = bodyBytes(outcome); n > 0) {
         m_storedBytes += n;
-        m_storedAnswers.emplace(m_nextStored++, job);
+        record.storedAnswer = m_nextStored++;
+        m_storedAnswers.emplace(*record.storedAnswer, job);
     }
     record.outcome = std::move(outcome);
     record.spec = {};
@@ -93,13 +111,21 @@
             return;
         }
         m_byForgetTime.erase(m_byForgetTime.begin());
-        m_storedBytes -= bodyBytes(*it->second.outcome);
-        std::erase_if(m_storedAnswers, [job](const auto &entry) { return entry.second == job; });
+        dropStoredAnswer(it->second);
         m_byId.erase(it->second.id);
         m_records.erase(it);
     }
 }
 
+void JobTable::dropStoredAnswer(JobRecord &record)
+{
+    if (record.storedAnswer) {
+        m_storedBytes -= bodyBytes(*record.outcome);
+        m_storedAnswers.erase(*record.storedAnswer);
+        record.storedAnswer.reset();
+    }
+}
+
 std::vector<TaskIndex> JobTable::startedTasks(const JobRecord &record)
 {
     std::vector<TaskIndex> started;
@@ -115,8 +141,7 @@
 {
     while (m_storedBytes > m_answerStore.value() && !m_storedAnswers.empty()) {
         JobRecord &record = at(m_storedAnswers.begin()->second);
-        m_storedAnswers.erase(m_storedAnswers.begin());
-        m_storedBytes -= bodyBytes(*record.outcome);
+        dropStoredAnswer(record);
         record.outcome = Failed{FailureReason::AnswerEvicted, startedTasks(record)};
     }
 }
