Hand the records of a planned stop over to a peer

A planned stop dropped its records, so every id of a replaced VM was answered unknown. The VM now refuses unstarted jobs, finishes running ones until the last sixth of stopLimit, seals its records and sends them in batches of at most 1,000 records and about 1 MiB to a peer, same zone first. The successor confirms each whole set with HandoverPointer, and the sender then tells all peers. A successor that is silent for 1 s or loses its link is replaced. Without any peer the VM stops at once; without a confirmation it stops at stopLimit.

HandoverRecords needs more than the records to keep refusals true: the age of the oldest token whose records cannot have been forgotten (an older id gets unknown), the position of each batch and its sender (two senders split a set differently), the sets that the sender held itself, and how long to keep the set.

--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -11,11 +11,13 @@
 #include "rattandock/core/dispatcher_options.hpp"
 #include "rattandock/core/event.hpp"
 #include "rattandock/core/forward_table.hpp"
+#include "rattandock/core/handover_sender.hpp"
 #include "rattandock/core/home_token.hpp"
 #include "rattandock/core/job_table.hpp"
 #include "rattandock/core/peer_table.hpp"
 #include "rattandock/core/safety_rules.hpp"
 #include "rattandock/core/scheduler.hpp"
+#include "rattandock/core/sealed_sets.hpp"
 
 namespace rattandock::core {
 
@@ -27,6 +29,8 @@
     std::size_t runningTasks = 0;
     bool draining = false;
     ConfigurationVersion configuration;
+    /// Stopped VMs for which this VM answers.
+    std::size_t sealedSets = 0;
 };
 
 /// What `GET /v1/jobs/ID` tells of a job.
@@ -65,6 +69,11 @@
     std::optional<JobView> view(const JobId &id) const;
 
 private:
+    struct Pointer
+    {
+        VmId successor;
+        TimePoint forgetAt;
+    };
     struct Attempt
     {
         TaskRef task;
@@ -98,6 +107,8 @@
                 TimePoint now, Actions &actions);
     void onPeer(const VmId &from, const Heartbeat &message, TimePoint now, Actions &actions);
     void onPeer(const VmId &from, const ForwardJob &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const HandoverRecords &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const HandoverPointer &message, TimePoint now, Actions &actions);
     void onPeer(const VmId &from, const ForwardedAnswer &message, TimePoint now, Actions &actions);
     void completeAttempt(const Attempt &attempt, const AttemptResult &result, TimePoint now,
                          Actions &actions);
@@ -107,7 +118,14 @@
     void endJob(JobHandle job, JobOutcome outcome, Actions &actions);
     void expire(TimePoint now, Actions &actions);
     void startDueTasks(TimePoint now, Actions &actions);
-    void finishDrain(Actions &actions);
+    void continueStop(TimePoint now, Actions &actions);
+    /// From here on no task starts, and the records do not change.
+    void seal(TimePoint now);
+    /// Running jobs of a planned stop are given up at this time.
+    TimePoint finishJobsBy() const;
+    /// How long any record of this VM may be asked for.
+    Duration recordLife() const;
+    void forgetHandovers(TimePoint now);
 
     DispatcherOptions m_options;
     SafetyRules m_rules;
@@ -115,6 +133,9 @@
     JobTable m_jobs;
     PeerTable m_peers;
     ForwardTable m_forwards;
+    SealedSets m_sealedSets;
+    HandoverSender m_sender;
+    std::unordered_map<Incarnation, Pointer> m_pointers;
     Scheduler m_scheduler;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<CallerRequestId, JobHandle> m_requests;
@@ -124,7 +145,9 @@
     /// Tokens issued before this time start no new job.
     TimePoint m_revokedBefore = TimePoint::min();
     bool m_draining = false;
+    bool m_sealed = false;
     bool m_stopped = false;
+    TimePoint m_stopBy;
 };
 
 } // namespace rattandock::core
--- a/include/rattandock/core/dispatcher_options.hpp
+++ b/include/rattandock/core/dispatcher_options.hpp
@@ -39,6 +39,8 @@
     Duration retryBackoff = 10ms;
     /// A planned stop waits this long for running jobs and for a successor.
     Duration stopLimit = 30s;
+    /// A successor that confirms nothing for this long is replaced by another peer.
+    Duration handoverTimeout = 1s;
 };
 
 } // namespace rattandock::core
--- a/include/rattandock/core/forward_table.hpp
+++ b/include/rattandock/core/forward_table.hpp
@@ -39,6 +39,7 @@
     std::vector<PendingForward> takeAllOf(const VmId &peer);
     std::vector<PendingForward> takeExpired(TimePoint now);
 
+    bool empty() const { return m_pending.empty(); }
     std::optional<TimePoint> nextTimer() const;
 
 private:
--- a/include/rattandock/core/job_outcome.hpp
+++ b/include/rattandock/core/job_outcome.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -49,6 +50,13 @@
 /// The one final answer of a submission.
 using JobOutcome = std::variant<Complete, Failed, NotRun, Unknown>;
 
+/// Size of the task results.
+std::uint64_t bodyBytes(const JobOutcome &outcome);
+
+/// What remains of an outcome when its results are dropped: a complete job becomes failed
+/// (answer-evicted) with all tasks started.
+JobOutcome withoutBody(const JobOutcome &outcome);
+
 /// `complete`, `failed`, `not-run` or `unknown`.
 std::string_view name(const JobOutcome &outcome);
 
--- a/include/rattandock/core/peer_message.hpp
+++ b/include/rattandock/core/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -70,7 +71,8 @@
 struct HandoverRecord
 {
     JobId id;
-    SpecDigest digest;
+    /// Nothing if the id was cancelled before any submission of it arrived.
+    std::optional<SpecDigest> digest;
     JobOutcome outcome;
 };
 
@@ -79,12 +81,23 @@
 {
     VmId sealedVm;
     Incarnation sealedIncarnation;
+    /// Who split the set into batches; batches of two senders do not fit together.
+    Incarnation sender;
+    /// On the sealed VM's clock. Records of older tokens may have been forgotten before.
+    TimePoint coversTokensIssuedAfter;
+    /// The receiver may drop the set after this time.
+    Duration keepFor{};
+    /// Sets that the sealed VM held itself; the receiver needs them before it confirms this one.
+    std::vector<Incarnation> heldSets;
+    /// Position of this message in the set, from 0.
+    std::uint32_t batch = 0;
     std::vector<HandoverRecord> records;
     /// True on the last message of the set.
     bool last = false;
 };
 
-/// Tells peers who answers for a sealed incarnation. Size: 32 B plus the name.
+/// Tells peers who answers for a sealed incarnation; the successor confirms a set with it.
+/// Size: 32 B plus the name.
 struct HandoverPointer
 {
     Incarnation sealedIncarnation;
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -12,6 +12,8 @@
     , m_tokens(m_options.vm, m_options.incarnation, m_options.tokenLifetime, m_options.tokenSecret)
     , m_jobs(m_options.maxRecords, m_options.answerStore)
     , m_forwards(m_options.incarnation)
+    , m_sealedSets(rules, m_options.answerStore)
+    , m_sender(m_options.zone, m_options.handoverTimeout)
     , m_scheduler(m_options, seed)
 {
 }
@@ -21,7 +23,7 @@
     std::visit([&](const auto &it) { on(it, now, actions); }, event);
     expire(now, actions);
     startDueTasks(now, actions);
-    finishDrain(actions);
+    continueStop(now, actions);
 }
 
 std::optional<TimePoint> Dispatcher::nextTimer() const
@@ -33,6 +35,10 @@
         }
     };
     include(m_forwards.nextTimer());
+    if (m_draining && !m_stopped) {
+        include(m_sender.nextTimer());
+        include(m_sealed ? m_stopBy : finishJobsBy());
+    }
     if (!m_deadlines.empty()) {
         include(m_deadlines.begin()->first);
     }
@@ -41,8 +47,8 @@
 
 DispatcherStatus Dispatcher::status() const
 {
-    return {m_jobs.size(), m_scheduler.queuedTasks(), m_scheduler.runningTasks(), m_draining,
-            m_configuration};
+    return {m_jobs.size(), m_scheduler.queuedTasks(), m_scheduler.runningTasks(),
+            m_draining,    m_configuration,           m_sealedSets.all().size()};
 }
 
 std::optional<JobView> Dispatcher::view(const JobId &id) const
@@ -194,23 +200,6 @@
                               "version " + std::to_string(event.version.value())});
 }
 
-void Dispatcher::on(const DrainRequested & /*event*/, TimePoint /*now*/, Actions &actions)
-{
-    if (m_draining) {
-        return;
-    }
-    m_draining = true;
-    std::vector<JobHandle> unstarted;
-    for (const auto &[deadline, handle] : m_deadlines) {
-        if (JobTable::startedTasks(m_jobs.at(handle)).empty()) {
-            unstarted.push_back(handle);
-        }
-    }
-    for (const JobHandle &it : unstarted) {
-        giveUp(it, RefusalReason::Draining, FailureReason::Cancelled, Duration{}, actions);
-    }
-}
-
 void Dispatcher::on(const TimerFired & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
 {
 }
@@ -224,7 +213,10 @@
     for (const PendingForward &it : m_forwards.takeExpired(now)) {
         answer(it.request, it.job, Unknown{UnknownReason::HomeUnreachable}, actions);
     }
-    m_jobs.forgetUntil(now);
+    if (!m_sealed) {
+        m_jobs.forgetUntil(now);
+        forgetHandovers(now);
+    }
 }
 
 void Dispatcher::startDueTasks(TimePoint now, Actions &actions)
@@ -245,12 +237,4 @@
     }
 }
 
-void Dispatcher::finishDrain(Actions &actions)
-{
-    if (m_draining && !m_stopped && m_deadlines.empty()) {
-        m_stopped = true;
-        actions.emplace_back(Stopped{});
-    }
-}
-
 } // namespace rattandock::core
--- a/src/rattandock/core/dispatcher_peers.cpp
+++ b/src/rattandock/core/dispatcher_peers.cpp
@@ -22,6 +22,12 @@
 void Dispatcher::on(const PeerLinkChanged &event, TimePoint /*now*/, Actions &actions)
 {
     m_peers.setLink(event.peer, event.up);
+    if (event.up) {
+        for (const SealedSet *set : m_sealedSets.all()) {
+            actions.emplace_back(
+                    SendToPeer{event.peer, HandoverPointer{set->incarnation, m_options.vm}});
+        }
+    }
     // Also when the link comes up: a request sent before was lost with the earlier connection.
     for (const PendingForward &it : m_forwards.takeAllOf(event.peer)) {
         answer(it.request, it.job, Unknown{UnknownReason::HomeUnreachable}, actions);
--- a/src/rattandock/core/dispatcher_submit.cpp
+++ b/src/rattandock/core/dispatcher_submit.cpp
@@ -11,7 +11,20 @@
         return submitHere(from, job, home, now, actions);
     }
     const Incarnation expected = home->token.incarnation;
-    if (std::holds_alternative<PeerRequest>(from) || home->token.vm == m_options.vm) {
+    if (auto outcome = m_sealedSets.answer(home->token, job)) {
+        return answer(from, job.id, std::move(*outcome), actions);
+    }
+    if (std::holds_alternative<PeerRequest>(from)) {
+        return answer(from, job.id, Unknown{UnknownReason::HomeLost}, actions);
+    }
+    if (const auto pointer = m_pointers.find(expected); pointer != m_pointers.end()) {
+        const VmId &successor = pointer->second.successor;
+        if (successor != m_options.vm && m_peers.isLinked(successor)) {
+            return forward(from, job, successor, expected, now, actions);
+        }
+        return answer(from, job.id, Unknown{UnknownReason::HomeUnreachable}, actions);
+    }
+    if (home->token.vm == m_options.vm) {
         return answer(from, job.id, Unknown{UnknownReason::HomeLost}, actions);
     }
     const auto seen = m_peers.incarnation(home->token.vm);
@@ -91,6 +104,13 @@
     if (!m_rules.keepRecords) {
         forgetAt = now;
     }
+    if (m_sealed && m_rules.sealBeforeHandover) {
+        // The successor answers sealed-never-seen for an id without a record, so this stays true.
+        return answer(from, job.id,
+                      home ? JobOutcome{NotRun{RefusalReason::Draining, Duration{}}}
+                           : JobOutcome{Unknown{UnknownReason::HolderUnreachable}},
+                      actions);
+    }
     if (m_jobs.full()) {
         if (!home) {
             return answer(from, job.id, Unknown{UnknownReason::RecordTableFull}, actions);
@@ -136,6 +156,9 @@
     if (home && (!m_tokens.isOwn(home->token) || outcomeByToken(home->token, now))) {
         return;
     }
+    if (m_sealed) {
+        return;
+    }
     if (m_jobs.full()) {
         if (home) {
             m_revokedBefore = now;
--- a/src/rattandock/core/job_table.cpp
+++ b/src/rattandock/core/job_table.cpp
@@ -4,21 +4,6 @@
 
 namespace rattandock::core {
 
-namespace {
-
-std::uint64_t bodyBytes(const JobOutcome &outcome)
-{
-    std::uint64_t n = 0;
-    if (const auto *complete = std::get_if<Complete>(&outcome)) {
-        for (const std::string &it : complete->results) {
-            n += it.size();
-        }
-    }
-    return n;
-}
-
-} // namespace
-
 JobTable::JobTable(std::size_t maxRecords, Bytes answerStore)
     : m_maxRecords(maxRecords)
     , m_answerStore(answerStore)
@@ -142,7 +127,7 @@
     while (m_storedBytes > m_answerStore.value() && !m_storedAnswers.empty()) {
         JobRecord &record = at(m_storedAnswers.begin()->second);
         dropStoredAnswer(record);
-        record.outcome = Failed{FailureReason::AnswerEvicted, startedTasks(record)};
+        record.outcome = withoutBody(*record.outcome);
     }
 }
 
