Accept key-form ids only under a lease on their range

Every VM accepted every key, so two VMs could start the same one. With the option keyRanges the ids without a token fall into 1,024 ranges, held by rows of the platform's table that the new actions ReadTable and TransactTable reach. Each cycle reads all rows and writes one transaction: the lease and the ranges that may be taken. What a VM holds follows only from rows it read or surely wrote, so the next read repairs a lost reply. Taking a lost holder's ranges deletes its lease row in the same transaction, which makes its next renewal fail.

The property test started a key twice: a copy waited 20 s in a paused VM and was forwarded to the holder after it had forgotten the record. - A cancel of an inherited key looks into the sealed sets first. The property test got not-run (cancelled) for a key that the stopped holder had answered complete.

A VM that has exited its planned stop no longer forwards: its caller got no answer. The daemon does not carry out the two actions yet, and the option stays off there.

--- a/include/rattandock/core/action.hpp
+++ b/include/rattandock/core/action.hpp
@@ -8,6 +8,7 @@
 #include "rattandock/base/time.hpp"
 #include "rattandock/core/job_outcome.hpp"
 #include "rattandock/core/peer_message.hpp"
+#include "rattandock/core/platform_table.hpp"
 
 namespace rattandock::core {
 
@@ -45,6 +46,21 @@
     PeerMessage message;
 };
 
+/// Read all rows whose key has the prefix; TableRowsRead or TableFailed follows, or no reply.
+struct ReadTable
+{
+    TableOperationId operation;
+    std::string prefix;
+};
+
+/// Write all rows or none; TableTransacted or TableFailed follows, or no reply.
+struct TransactTable
+{
+    TableOperationId operation;
+    std::vector<TableCheck> checks;
+    std::vector<TableWrite> writes;
+};
+
 /// What kind of decision a Note tells of; each is one counter.
 enum class NoteKind : std::uint8_t {
     JobAccepted,
@@ -84,7 +100,8 @@
 {
 };
 
-using Action = std::variant<StartTask, StopTask, AnswerCaller, SendToPeer, Note, Stopped>;
+using Action = std::variant<StartTask, StopTask, AnswerCaller, SendToPeer, ReadTable, TransactTable,
+                            Note, Stopped>;
 using Actions = std::vector<Action>;
 
 } // namespace rattandock::core
--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -14,6 +14,7 @@
 #include "rattandock/core/handover_sender.hpp"
 #include "rattandock/core/home_token.hpp"
 #include "rattandock/core/job_table.hpp"
+#include "rattandock/core/key_ranges.hpp"
 #include "rattandock/core/peer_table.hpp"
 #include "rattandock/core/safety_rules.hpp"
 #include "rattandock/core/scheduler.hpp"
@@ -31,6 +32,7 @@
     ConfigurationVersion configuration;
     /// Stopped VMs for which this VM answers.
     std::size_t sealedSets = 0;
+    std::size_t heldKeyRanges = 0;
 };
 
 /// What `GET /v1/jobs/ID` tells of a job.
@@ -89,6 +91,9 @@
     void on(const ConfigurationAccepted &event, TimePoint now, Actions &actions);
     void on(const PeerMessageReceived &event, TimePoint now, Actions &actions);
     void on(const PeerLinkChanged &event, TimePoint now, Actions &actions);
+    void on(const TableRowsRead &event, TimePoint now, Actions &actions);
+    void on(const TableTransacted &event, TimePoint now, Actions &actions);
+    void on(const TableFailed &event, TimePoint now, Actions &actions);
     void on(const DrainRequested &event, TimePoint now, Actions &actions);
     void on(const TimerFired &event, TimePoint now, Actions &actions);
 
@@ -96,10 +101,16 @@
     void submit(const Requester &from, const JobSpec &job, TimePoint now, Actions &actions);
     void submitHere(const Requester &from, const JobSpec &job, const std::optional<HomeJobId> &home,
                     TimePoint now, Actions &actions);
+    /// Sees from the time since the last event that the process was paused.
+    void noticePause(TimePoint now);
+    /// Routes a key-form id by the standing of its range. False if this VM may accept it.
+    bool answeredByRange(const Requester &from, const JobSpec &job, TimePoint now,
+                         Actions &actions);
     /// The answer to an id without a record, if its token alone decides it.
     std::optional<JobOutcome> outcomeByToken(const HomeToken &token, TimePoint now) const;
     /// Refuses an id that no submission of has arrived yet, so that a delayed one does not run.
     void cancelUnseen(const JobId &job, TimePoint now, Actions &actions);
+    bool mayAcceptKey(const JobId &job, TimePoint now) const;
     void forward(const Requester &from, const JobSpec &job, const VmId &peer, Incarnation expected,
                  TimePoint now, Actions &actions);
     static void answer(const Requester &to, const JobId &job, JobOutcome outcome, Actions &actions);
@@ -136,6 +147,7 @@
     SealedSets m_sealedSets;
     HandoverSender m_sender;
     std::unordered_map<Incarnation, Pointer> m_pointers;
+    KeyRanges m_keyRanges;
     Scheduler m_scheduler;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<CallerRequestId, JobHandle> m_requests;
@@ -144,6 +156,9 @@
     ConfigurationVersion m_configuration;
     /// Tokens issued before this time start no new job.
     TimePoint m_revokedBefore = TimePoint::min();
+    std::optional<TimePoint> m_lastHandled;
+    /// Key-form submissions until then may have waited too long for this VM.
+    TimePoint m_keysLateUntil = TimePoint::min();
     bool m_draining = false;
     bool m_sealed = false;
     bool m_stopped = false;
--- a/include/rattandock/core/event.hpp
+++ b/include/rattandock/core/event.hpp
@@ -8,6 +8,7 @@
 #include "rattandock/core/attempt_result.hpp"
 #include "rattandock/core/job_spec.hpp"
 #include "rattandock/core/peer_message.hpp"
+#include "rattandock/core/platform_table.hpp"
 #include "rattandock/core/team_spec.hpp"
 #include "rattandock/core/upstream_spec.hpp"
 
@@ -71,6 +72,26 @@
     bool up = false;
 };
 
+/// The rows of a ReadTable at one moment after it was sent.
+struct TableRowsRead
+{
+    TableOperationId operation;
+    std::vector<TableRow> rows;
+};
+
+/// A TransactTable has taken effect, or never will because a check failed.
+struct TableTransacted
+{
+    TableOperationId operation;
+    bool committed = false;
+};
+
+/// The platform gave no usable reply. A transaction may have taken effect or may yet do so.
+struct TableFailed
+{
+    TableOperationId operation;
+};
+
 /// A planned stop begins; the action Stopped follows when it is done.
 struct DrainRequested
 {
@@ -83,6 +104,6 @@
 
 using Event = std::variant<JobSubmitted, JobCancelled, CallerLeft, AttemptEnded, UpstreamSeen,
                            ConfigurationAccepted, PeerMessageReceived, PeerLinkChanged,
-                           DrainRequested, TimerFired>;
+                           TableRowsRead, TableTransacted, TableFailed, DrainRequested, TimerFired>;
 
 } // namespace rattandock::core
--- a/include/rattandock/core/handover_sender.hpp
+++ b/include/rattandock/core/handover_sender.hpp
@@ -42,8 +42,10 @@
     TimePoint m_confirmBy;
 };
 
-/// Splits records into batches of at most 1,000 records and about 1 MiB of bodies; at least one.
+/// Splits records into batches of at most maxRecords records and about 1 MiB of bodies; at least
+/// one.
 std::vector<HandoverRecords> splitIntoBatches(const HandoverRecords &header,
-                                              std::vector<HandoverRecord> records);
+                                              std::vector<HandoverRecord> records,
+                                              std::size_t maxRecords);
 
 } // namespace rattandock::core
--- a/include/rattandock/core/reason.hpp
+++ b/include/rattandock/core/reason.hpp
@@ -48,8 +48,10 @@
     PreviousHolderLost,
     HolderUnreachable,
     RecordTableFull,
+    LeaseLapsed,
+    RecentlyPaused,
 };
-inline constexpr std::size_t unknownReasonCount = 6;
+inline constexpr std::size_t unknownReasonCount = 8;
 
 /// Why an attempt provably did not start its task.
 enum class NotStartedReason : std::uint8_t {
--- a/include/rattandock/core/safety_rules.hpp
+++ b/include/rattandock/core/safety_rules.hpp
@@ -22,8 +22,11 @@
     bool checkTokenAge = true;
     /// A lapsed lease accepts no new key.
     bool checkLease = true;
-    /// A range is taken over only after the holder's lease row was unchanged for the lease.
+    /// A range is taken over only after the holder's lease row was unchanged for the lease, or
+    /// for two renewals if off.
     bool watchLease = true;
+    /// A VM that was paused answers unknown to keys that may have waited for it.
+    bool noticePause = true;
 };
 
 } // namespace rattandock::core
--- a/include/rattandock/core/sealed_sets.hpp
+++ b/include/rattandock/core/sealed_sets.hpp
@@ -45,6 +45,9 @@
     /// The recorded answer to a key-form id; nothing if no set has it.
     std::optional<JobOutcome> answerToKey(const JobSpec &job) const;
 
+    /// True if some set has a record of the id.
+    bool knows(const JobId &id) const;
+
     /// True if all records of the incarnation are here, so that its key ranges may be taken.
     bool accepted(Incarnation incarnation) const;
 
--- a/src/rattandock/app/decision_loop.cpp
+++ b/src/rattandock/app/decision_loop.cpp
@@ -104,6 +104,8 @@
                            [&](core::StopTask &it) { m_ports->upstreams.stop(std::move(it)); },
                            [&](core::AnswerCaller &it) { m_ports->callers.answer(std::move(it)); },
                            [&](core::SendToPeer &it) { m_ports->peers.send(std::move(it)); },
+                           // Not emitted while the option keyRanges is off.
+                           [](core::ReadTable &) {}, [](core::TransactTable &) {},
                            [&](core::Note &it) { m_ports->notes.note(it, now); },
                            [&](core::Stopped &) { m_stopped = true; }},
                 action);
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -14,15 +14,20 @@
     , m_forwards(m_options.incarnation)
     , m_sealedSets(rules, m_options.answerStore)
     , m_sender(m_options.zone, m_options.handoverTimeout)
+    , m_keyRanges(m_options, rules)
     , m_scheduler(m_options, seed)
 {
 }
 
 void Dispatcher::handle(const Event &event, TimePoint now, Actions &actions)
 {
+    noticePause(now);
     std::visit([&](const auto &it) { on(it, now, actions); }, event);
     expire(now, actions);
     startDueTasks(now, actions);
+    if (m_options.keyRanges) {
+        m_keyRanges.step(now, actions);
+    }
     continueStop(now, actions);
 }
 
@@ -35,6 +40,12 @@
         }
     };
     include(m_forwards.nextTimer());
+    if (m_options.keyRanges) {
+        include(m_keyRanges.nextTimer());
+        if (m_lastHandled) {
+            include(*m_lastHandled + m_options.keyTravelTime / 8);
+        }
+    }
     if (m_draining && !m_stopped) {
         include(m_sender.nextTimer());
         include(m_sealed ? m_stopBy : finishJobsBy());
@@ -47,8 +58,8 @@
 
 DispatcherStatus Dispatcher::status() const
 {
-    return {m_jobs.size(), m_scheduler.queuedTasks(), m_scheduler.runningTasks(),
-            m_draining,    m_configuration,           m_sealedSets.all().size()};
+    return {m_jobs.size(),   m_scheduler.queuedTasks(), m_scheduler.runningTasks(), m_draining,
+            m_configuration, m_sealedSets.all().size(), m_keyRanges.heldCount()};
 }
 
 std::optional<JobView> Dispatcher::view(const JobId &id) const
@@ -200,6 +211,21 @@
                               "version " + std::to_string(event.version.value())});
 }
 
+void Dispatcher::on(const TableRowsRead &event, TimePoint now, Actions &actions)
+{
+    m_keyRanges.on(event, m_sealedSets, m_peers.linked().size(), now, actions);
+}
+
+void Dispatcher::on(const TableTransacted &event, TimePoint now, Actions &actions)
+{
+    m_keyRanges.on(event, now, actions);
+}
+
+void Dispatcher::on(const TableFailed &event, TimePoint now, Actions & /*actions*/)
+{
+    m_keyRanges.on(event, now);
+}
+
 void Dispatcher::on(const TimerFired & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
 {
 }
@@ -207,7 +233,10 @@
 void Dispatcher::expire(TimePoint now, Actions &actions)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        giveUp(m_deadlines.begin()->second, RefusalReason::DeadlinePassed,
+        const JobHandle job = m_deadlines.begin()->second;
+        const bool shortened =
+                m_jobs.at(job).deadline < m_jobs.at(job).accepted + m_jobs.at(job).spec.deadline;
+        giveUp(job, shortened ? RefusalReason::KeyValidityPassed : RefusalReason::DeadlinePassed,
                FailureReason::DeadlinePassed, Duration{}, actions);
     }
     for (const PendingForward &it : m_forwards.takeExpired(now)) {
--- a/src/rattandock/core/dispatcher_handover.cpp
+++ b/src/rattandock/core/dispatcher_handover.cpp
@@ -74,6 +74,7 @@
 void Dispatcher::seal(TimePoint now)
 {
     m_sealed = true;
+    m_keyRanges.stop();
     std::vector<std::vector<HandoverRecords>> sets;
     HandoverRecords own;
     for (const SealedSet *set : m_sealedSets.all()) {
@@ -88,7 +89,8 @@
         for (const auto &[id, record] : set->records) {
             records.push_back(record);
         }
-        sets.push_back(splitIntoBatches(header, std::move(records)));
+        sets.push_back(
+                splitIntoBatches(header, std::move(records), m_options.handoverBatchRecords));
     }
     own.sender = m_options.incarnation;
     own.sealedVm = m_options.vm;
@@ -101,14 +103,14 @@
             records.push_back({record.id, record.digest, *record.outcome});
         }
     }
-    sets.push_back(splitIntoBatches(own, std::move(records)));
+    sets.push_back(splitIntoBatches(own, std::move(records), m_options.handoverBatchRecords));
     m_sender.begin(std::move(sets));
 }
 
 Duration Dispatcher::recordLife() const
 {
-    return withDrift(
-            std::max(m_options.tokenLifetime + m_options.recordGrace, m_options.keyValidity));
+    return withDrift(std::max(m_options.tokenLifetime + m_options.recordGrace,
+                              m_options.keyValidity + m_options.keyTravelTime));
 }
 
 void Dispatcher::onPeer(const VmId &from, const HandoverRecords &message, TimePoint now,
@@ -120,6 +122,7 @@
         return;
     }
     if (m_sealedSets.take(message, now)) {
+        m_keyRanges.hurry(now);
         actions.emplace_back(Note{NoteKind::HandoverTaken, "whole", {}, message.sealedVm.value()});
         actions.emplace_back(
                 SendToPeer{from, HandoverPointer{message.sealedIncarnation, m_options.vm}});
--- a/src/rattandock/core/dispatcher_submit.cpp
+++ b/src/rattandock/core/dispatcher_submit.cpp
@@ -1,4 +1,6 @@
 // How a Dispatcher routes, accepts and refuses submissions.
+#include <algorithm>
+
 #include "rattandock/base/overloaded.hpp"
 #include "rattandock/core/dispatcher.hpp"
 
@@ -38,9 +40,15 @@
 void Dispatcher::forward(const Requester &from, const JobSpec &job, const VmId &peer,
                          Incarnation expected, TimePoint now, Actions &actions)
 {
+    if (m_stopped) {
+        // The process is about to end and cannot wait for the answer.
+        return answer(from, job.id, Unknown{UnknownReason::HomeUnreachable}, actions);
+    }
     const std::uint64_t number = m_forwards.add({std::get<CallerRequestId>(from), job.id, peer,
                                                  now + job.deadline + m_options.forwardMargin});
-    actions.emplace_back(Note{NoteKind::JobForwarded, "home-form", job.id, peer.value()});
+    actions.emplace_back(Note{NoteKind::JobForwarded,
+                              parseHomeJobId(job.id) ? "home-form" : "key-form", job.id,
+                              peer.value()});
     actions.emplace_back(SendToPeer{peer, ForwardJob{number, expected, job}});
 }
 
@@ -57,6 +65,53 @@
             to);
 }
 
+bool Dispatcher::answeredByRange(const Requester &from, const JobSpec &job, TimePoint now,
+                                 Actions &actions)
+{
+    if (!m_options.keyRanges) {
+        return false;
+    }
+    if (auto outcome = m_sealedSets.answerToKey(job)) {
+        answer(from, job.id, std::move(*outcome), actions);
+        return true;
+    }
+    if (now < m_keysLateUntil && m_rules.noticePause) {
+        answer(from, job.id, Unknown{UnknownReason::RecentlyPaused}, actions);
+        return true;
+    }
+    const std::uint32_t range = m_keyRanges.rangeOf(job.id);
+    switch (m_keyRanges.standing(range, now)) {
+    case KeyStanding::Held:
+        return false;
+    case KeyStanding::Quarantined:
+        answer(from, job.id, Unknown{UnknownReason::PreviousHolderLost}, actions);
+        return true;
+    case KeyStanding::Lapsed:
+        // Not "not run": a new holder may have started the key, or may do so after its quarantine.
+        answer(from, job.id, Unknown{UnknownReason::LeaseLapsed}, actions);
+        return true;
+    case KeyStanding::Elsewhere:
+        break;
+    }
+    const auto holder = m_keyRanges.holder(range);
+    if (holder && std::holds_alternative<CallerRequestId>(from)
+        && m_peers.incarnation(holder->vm) == holder->incarnation) {
+        forward(from, job, holder->vm, holder->incarnation, now, actions);
+    } else {
+        answer(from, job.id, Unknown{UnknownReason::HolderUnreachable}, actions);
+    }
+    return true;
+}
+
+void Dispatcher::noticePause(TimePoint now)
+{
+    // The timer comes at least every eighth of the travel time.
+    if (m_lastHandled && now - *m_lastHandled > m_options.keyTravelTime / 4) {
+        m_keysLateUntil = now + m_options.keyTravelTime / 4;
+    }
+    m_lastHandled = now;
+}
+
 std::optional<JobOutcome> Dispatcher::outcomeByToken(const HomeToken &token, TimePoint now) const
 {
     const TimePoint expires = token.issued + m_options.tokenLifetime;
@@ -94,7 +149,10 @@
         return;
     }
 
-    TimePoint forgetAt = now + m_options.keyValidity;
+    TimePoint forgetAt = now + m_options.keyValidity + m_options.keyTravelTime;
+    if (!home && answeredByRange(from, job, now, actions)) {
+        return;
+    }
     if (home) {
         if (const auto outcome = outcomeByToken(home->token, now)) {
             return answer(from, job.id, *outcome, actions);
@@ -131,6 +189,10 @@
     if (const auto *request = std::get_if<CallerRequestId>(&from)) {
         m_requests.emplace(*request, handle);
     }
+    if (!home) {
+        // A successor to the range starts new keys once the key validity has passed.
+        record.deadline = std::min(record.deadline, now + m_options.keyValidity);
+    }
     m_deadlines.emplace(record.deadline, handle);
     m_scheduler.enqueue(handle, record.spec, now);
     actions.emplace_back(Note{NoteKind::JobAccepted, home ? "home-form" : "key-form", job.id,
@@ -150,13 +212,19 @@
     endJob(handle, refusal, actions);
 }
 
+bool Dispatcher::mayAcceptKey(const JobId &job, TimePoint now) const
+{
+    return now >= m_keysLateUntil && !m_sealedSets.knows(job)
+           && m_keyRanges.standing(m_keyRanges.rangeOf(job), now) == KeyStanding::Held;
+}
+
 void Dispatcher::cancelUnseen(const JobId &job, TimePoint now, Actions &actions)
 {
     const auto home = parseHomeJobId(job);
     if (home && (!m_tokens.isOwn(home->token) || outcomeByToken(home->token, now))) {
         return;
     }
-    if (m_sealed) {
+    if (m_sealed || (!home && m_options.keyRanges && !mayAcceptKey(job, now))) {
         return;
     }
     if (m_jobs.full()) {
@@ -167,7 +235,7 @@
     }
     const TimePoint forgetAt =
             home ? home->token.issued + m_options.tokenLifetime + m_options.recordGrace
-                 : now + m_options.keyValidity;
+                 : now + m_options.keyValidity + m_options.keyTravelTime;
     const NotRun outcome{RefusalReason::Cancelled, std::nullopt};
     m_jobs.addEnded(job, outcome, now, forgetAt);
     actions.emplace_back(Note{NoteKind::JobRefused, name(outcome.reason), job, "not seen yet"});
--- a/src/rattandock/core/handover_sender.cpp
+++ b/src/rattandock/core/handover_sender.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-constexpr std::size_t maxBatchRecords = 1000;
 /// With the records' headers a batch stays far below the 4 MiB bound of a peer message.
 constexpr std::uint64_t maxBatchBytes = 1U << 20U;
 constexpr std::size_t batchesPerStep = 4;
@@ -79,7 +78,8 @@
 }
 
 std::vector<HandoverRecords> splitIntoBatches(const HandoverRecords &header,
-                                              std::vector<HandoverRecord> records)
+                                              std::vector<HandoverRecord> records,
+                                              std::size_t maxRecords)
 {
     std::vector<HandoverRecords> batches{header};
     std::uint64_t bytes = 0;
@@ -88,7 +88,7 @@
             it.outcome = withoutBody(it.outcome);
         }
         bytes += bodyBytes(it.outcome);
-        if (batches.back().records.size() >= maxBatchRecords || bytes > maxBatchBytes) {
+        if (batches.back().records.size() >= maxRecords || bytes > maxBatchBytes) {
             batches.push_back(header);
             batches.back().batch = static_cast<std::uint32_t>(batches.size() - 1);
             bytes = bodyBytes(it.outcome);
--- a/src/rattandock/core/peer_table.cpp
+++ b/src/rattandock/core/peer_table.cpp
@@ -53,8 +53,8 @@
             found.push_back(vm);
         }
     }
-    std::ranges::stable_partition(
-            found, [&](const VmId &it) { return m_peers.at(it).last->zone == zone; });
+    std::stable_partition(found.begin(), found.end(),
+                          [&](const VmId &it) { return m_peers.at(it).last->zone == zone; });
     return found;
 }
 
--- a/src/rattandock/core/reason.cpp
+++ b/src/rattandock/core/reason.cpp
@@ -36,8 +36,8 @@
 std::string_view name(UnknownReason reason)
 {
     static constexpr std::array<std::string_view, unknownReasonCount> names{
-            "home-lost",          "home-unreachable", "token-expired", "previous-holder-lost",
-            "holder-unreachable", "record-table-full"};
+            "home-lost",          "home-unreachable",  "token-expired", "previous-holder-lost",
+            "holder-unreachable", "record-table-full", "lease-lapsed",  "recently-paused"};
     return lookUp(names, reason);
 }
 
--- a/src/rattandock/core/sealed_sets.cpp
+++ b/src/rattandock/core/sealed_sets.cpp
@@ -98,6 +98,12 @@
     return std::nullopt;
 }
 
+bool SealedSets::knows(const JobId &id) const
+{
+    return std::ranges::any_of(m_sets,
+                               [&id](const auto &it) { return it.second.records.contains(id); });
+}
+
 bool SealedSets::accepted(Incarnation incarnation) const
 {
     const auto it = m_sets.find(incarnation);
