Check the at-most-once contract by property tests

Three Dispatchers with drifting clocks run against a fake network, upstreams and platform table in memory. The checker judges every start and answer.

SafetyRules switches off one rule at a time. It is a constructor argument and not part of DispatcherOptions, so settings cannot reach it.

--- /dev/null
+++ b/src/rattandock/core/contract_world_test.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "contract_checker_test.hpp"
+#include "contract_platform_test.hpp"
+#include "contract_schedule_test.hpp"
+#include "rattandock/core/dispatcher.hpp"
+
+namespace rattandock::core::test {
+
+/// Counts over all schedules of a run.
+using FaultCounts = std::map<std::string, std::uint64_t>;
+
+/// Three VMs, their callers, upstreams, network and platform, all in memory and in one thread.
+/// Drives Dispatchers through one schedule; throws Breach when the contract is broken.
+class ContractWorld
+{
+public:
+    ContractWorld(const Schedule &schedule, const SafetyRules &rules, FaultCounts &counts);
+
+    void run();
+
+private:
+    static constexpr std::size_t vmCount = 3;
+
+    /// One run of a daemon. A paused one may be replaced and wake later.
+    struct Process
+    {
+        int number = 0;
+        std::size_t slot = 0;
+        Incarnation incarnation;
+        std::unique_ptr<Dispatcher> core;
+        Duration clockOffset{};
+        /// Parts per thousand by which the clock runs fast.
+        int clockDrift = 0;
+        bool alive = true;
+        bool paused = false;
+        bool draining = false;
+        /// Events that arrived during the pause.
+        std::deque<Event> inbox;
+        std::optional<TimePoint> timer;
+    };
+    struct Job
+    {
+        JobSpec spec;
+        bool keyForm = false;
+        TimePoint firstSent;
+    };
+    struct Later
+    {
+        TimePoint time;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+
+        bool operator>(const Later &other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+
+    static VmId vmName(std::size_t slot) { return VmId{std::to_string(slot) + "-vm"}; }
+    static ZoneId zoneOf(std::size_t slot) { return ZoneId{slot == 2 ? "b" : "a"}; }
+    DispatcherOptions optionsOf(std::size_t slot, Incarnation incarnation) const;
+    void boot(std::size_t slot);
+    void end(Process &process);
+    Process &at(std::size_t slot) { return *m_processes.at(m_current.at(slot)); }
+    TimePoint localTime(const Process &process) const;
+
+    void take(const Step &step);
+    void submitNew(const Step &step);
+    void sendCopy(const Job &job, std::size_t slot);
+    void receive(int process, const Job &job);
+    void cutLink(std::size_t a, std::size_t b, bool cut);
+    void wake(Process &process);
+    void handle(Process &process, const Event &event);
+    void post(int process, const Event &event);
+    void passTime(Duration span);
+    void settle();
+
+    void carryOut(Process &process, Action &action);
+    /// The process ends after its planned stop.
+    void exit(int number);
+    void startTask(Process &process, const StartTask &task);
+    void sendToPeer(Process &process, const SendToPeer &message);
+    void reachTable(Process &process, const ReadTable &read);
+    void reachTable(Process &process, const TransactTable &transaction);
+    template <typename Apply>
+    void reachTable(int process, const TableOperationId &operation, Apply apply);
+    void beat(int process);
+
+    void later(Duration delay, std::function<void()> run);
+    Duration delay(int lowMs, int highMs);
+    bool chance(int percent);
+    void count(const std::string &fault) { ++m_counts[fault]; }
+
+    const Schedule &m_schedule;
+    SafetyRules m_rules;
+    FaultCounts &m_counts;
+    ContractChecker m_checker;
+    FakeTable m_table;
+    std::mt19937_64 m_random;
+    TimePoint m_now{};
+    std::uint64_t m_order = 0;
+    std::priority_queue<Later, std::vector<Later>, std::greater<>> m_later;
+    std::vector<std::unique_ptr<Process>> m_processes;
+    std::array<std::size_t, vmCount> m_current{};
+    std::array<std::array<bool, vmCount>, vmCount> m_cut{};
+    std::vector<Job> m_jobs;
+    std::vector<std::pair<int, CallerRequestId>> m_asked;
+    std::map<std::pair<int, AttemptId>, bool> m_running;
+    std::uint64_t m_nextRequest = 1;
+    std::array<bool, vmCount> m_platformCut{};
+    int m_messageLoss = 0;
+    int m_replyLoss = 0;
+    int m_upstreamFaults = 0;
+};
+
+} // namespace rattandock::core::test
