--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -10,9 +10,15 @@
 #include "rattandock/core/action.hpp"
 #include "rattandock/core/dispatcher_options.hpp"
 #include "rattandock/core/event.hpp"
+#include "rattandock/core/forward_table.hpp"
+#include "rattandock/core/handover_sender.hpp"
 #include "rattandock/core/home_token.hpp"
 #include "rattandock/core/job_table.hpp"
+#include "rattandock/core/key_ranges.hpp"
+#include "rattandock/core/peer_table.hpp"
+#include "rattandock/core/safety_rules.hpp"
 #include "rattandock/core/scheduler.hpp"
+#include "rattandock/core/sealed_sets.hpp"
 
 namespace rattandock::core {
 
@@ -24,6 +30,9 @@
     std::size_t runningTasks = 0;
     bool draining = false;
     ConfigurationVersion configuration;
+    /// Stopped VMs for which this VM answers.
+    std::size_t sealedSets = 0;
+    std::size_t heldKeyRanges = 0;
 };
 
 /// What `GET /v1/jobs/ID` tells of a job.
@@ -44,7 +53,8 @@
 class Dispatcher
 {
 public:
-    Dispatcher(DispatcherOptions options, std::uint64_t seed);
+    /// Only tests pass rules.
+    Dispatcher(DispatcherOptions options, std::uint64_t seed, const SafetyRules &rules = {});
 
     /// Appends the actions that follow from the event.
     void handle(const Event &event, TimePoint now, Actions &actions);
@@ -61,6 +71,11 @@
     std::optional<JobView> view(const JobId &id) const;
 
 private:
+    struct Pointer
+    {
+        VmId successor;
+        TimePoint forgetAt;
+    };
     struct Attempt
     {
         TaskRef task;
@@ -76,13 +91,36 @@
     void on(const ConfigurationAccepted &event, TimePoint now, Actions &actions);
     void on(const PeerMessageReceived &event, TimePoint now, Actions &actions);
     void on(const PeerLinkChanged &event, TimePoint now, Actions &actions);
+    void on(const TableRowsRead &event, TimePoint now, Actions &actions);
+    void on(const TableTransacted &event, TimePoint now, Actions &actions);
+    void on(const TableFailed &event, TimePoint now, Actions &actions);
     void on(const DrainRequested &event, TimePoint now, Actions &actions);
     void on(const TimerFired &event, TimePoint now, Actions &actions);
 
-    void submitHere(const JobSubmitted &event, const std::optional<HomeJobId> &home, TimePoint now,
-                    Actions &actions);
-    void refuse(const JobSubmitted &event, NotRun refusal, TimePoint forgetAt, TimePoint now,
-                Actions &actions);
+    /// Starts, joins, forwards or refuses a submission. One from a peer is never forwarded again.
+    void submit(const Requester &from, const JobSpec &job, TimePoint now, Actions &actions);
+    void submitHere(const Requester &from, const JobSpec &job, const std::optional<HomeJobId> &home,
+                    TimePoint now, Actions &actions);
+    /// Sees from the time since the last event that the process was paused.
+    void noticePause(TimePoint now);
+    /// Routes a key-form id by the standing of its range. False if this VM may accept it.
+    bool answeredByRange(const Requester &from, const JobSpec &job, TimePoint now,
+                         Actions &actions);
+    /// The answer to an id without a record, if its token alone decides it.
+    std::optional<JobOutcome> outcomeByToken(const HomeToken &token, TimePoint now) const;
+    /// Refuses an id that no submission of has arrived yet, so that a delayed one does not run.
+    void cancelUnseen(const JobId &job, TimePoint now, Actions &actions);
+    bool mayAcceptKey(const JobId &job, TimePoint now) const;
+    void forward(const Requester &from, const JobSpec &job, const VmId &peer, Incarnation expected,
+                 TimePoint now, Actions &actions);
+    static void answer(const Requester &to, const JobId &job, JobOutcome outcome, Actions &actions);
+    void refuse(const Requester &from, const JobSpec &job, NotRun refusal, TimePoint forgetAt,
+                TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const Heartbeat &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const ForwardJob &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const HandoverRecords &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const HandoverPointer &message, TimePoint now, Actions &actions);
+    void onPeer(const VmId &from, const ForwardedAnswer &message, TimePoint now, Actions &actions);
     void completeAttempt(const Attempt &attempt, const AttemptResult &result, TimePoint now,
                          Actions &actions);
     /// Ends a job that cannot complete: not run if no task started, else failed.
@@ -91,11 +129,25 @@
     void endJob(JobHandle job, JobOutcome outcome, Actions &actions);
     void expire(TimePoint now, Actions &actions);
     void startDueTasks(TimePoint now, Actions &actions);
-    void finishDrain(Actions &actions);
+    void continueStop(TimePoint now, Actions &actions);
+    /// From here on no task starts, and the records do not change.
+    void seal(TimePoint now);
+    /// Running jobs of a planned stop are given up at this time.
+    TimePoint finishJobsBy() const;
+    /// How long any record of this VM may be asked for.
+    Duration recordLife() const;
+    void forgetHandovers(TimePoint now);
 
     DispatcherOptions m_options;
+    SafetyRules m_rules;
     TokenAuthority m_tokens;
     JobTable m_jobs;
+    PeerTable m_peers;
+    ForwardTable m_forwards;
+    SealedSets m_sealedSets;
+    HandoverSender m_sender;
+    std::unordered_map<Incarnation, Pointer> m_pointers;
+    KeyRanges m_keyRanges;
     Scheduler m_scheduler;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<CallerRequestId, JobHandle> m_requests;
@@ -104,8 +156,13 @@
     ConfigurationVersion m_configuration;
     /// Tokens issued before this time start no new job.
     TimePoint m_revokedBefore = TimePoint::min();
+    std::optional<TimePoint> m_lastHandled;
+    /// Key-form submissions until then may have waited too long for this VM.
+    TimePoint m_keysLateUntil = TimePoint::min();
     bool m_draining = false;
+    bool m_sealed = false;
     bool m_stopped = false;
+    TimePoint m_stopBy;
 };
 
 } // namespace rattandock::core
--- a/include/rattandock/core/job_table.hpp
+++ b/include/rattandock/core/job_table.hpp
@@ -9,6 +9,7 @@
 #include "rattandock/core/job_handle.hpp"
 #include "rattandock/core/job_outcome.hpp"
 #include "rattandock/core/job_spec.hpp"
+#include "rattandock/core/requester.hpp"
 
 namespace rattandock::core {
 
@@ -18,18 +19,21 @@
 struct JobRecord
 {
     JobId id;
-    SpecDigest digest;
+    /// Nothing if the id was cancelled before any submission of it arrived.
+    std::optional<SpecDigest> digest;
     /// Tasks and payloads; emptied when the job has ended.
     JobSpec spec;
     std::vector<TaskState> states;
     std::vector<std::string> results;
     std::size_t doneCount = 0;
-    std::vector<CallerRequestId> waiting;
+    std::vector<Requester> waiting;
     std::optional<JobOutcome> outcome;
     TimePoint accepted;
     TimePoint deadline;
     /// The record may be dropped from then on.
     TimePoint forgetAt;
+    /// Position among the stored answers, if it has one.
+    std::optional<std::uint64_t> storedAnswer;
 };
 
 /// Job records of this incarnation, addressed by handle and found by id.
@@ -46,6 +50,10 @@
     /// Precondition: no record has this id and the table is not full.
     JobHandle add(JobSpec job, TimePoint now, TimePoint forgetAt);
 
+    /// Records an outcome for an id of which no submission arrived.
+    /// Precondition: no record has this id and the table is not full.
+    JobHandle addEnded(const JobId &id, JobOutcome outcome, TimePoint now, TimePoint forgetAt);
+
     /// Precondition: the handle is from this table and not forgotten.
     JobRecord &at(JobHandle job);
     const JobRecord &at(JobHandle job) const;
@@ -65,6 +73,8 @@
     const std::map<JobHandle, JobRecord> &records() const { return m_records; }
 
 private:
+    JobHandle insert(JobRecord record);
+    void dropStoredAnswer(JobRecord &record);
     void evictAnswers();
 
     std::size_t m_maxRecords;
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -6,44 +6,60 @@
 
 namespace rattandock::core {
 
-namespace {
-
-Note noteFor(NoteKind kind, std::string_view reason, const JobId &job, std::string detail = {})
-{
-    return Note{kind, reason, job, std::move(detail)};
-}
-
-} // namespace
-
-Dispatcher::Dispatcher(DispatcherOptions options, std::uint64_t seed)
+Dispatcher::Dispatcher(DispatcherOptions options, std::uint64_t seed, const SafetyRules &rules)
     : m_options(std::move(options))
+    , m_rules(rules)
     , m_tokens(m_options.vm, m_options.incarnation, m_options.tokenLifetime, m_options.tokenSecret)
     , m_jobs(m_options.maxRecords, m_options.answerStore)
+    , m_forwards(m_options.incarnation)
+    , m_sealedSets(rules, m_options.answerStore)
+    , m_sender(m_options.zone, m_options.handoverTimeout)
+    , m_keyRanges(m_options, rules)
     , m_scheduler(m_options, seed)
 {
 }
 
 void Dispatcher::handle(const Event &event, TimePoint now, Actions &actions)
 {
+    noticePause(now);
     std::visit([&](const auto &it) { on(it, now, actions); }, event);
     expire(now, actions);
     startDueTasks(now, actions);
-    finishDrain(actions);
+    if (m_options.keyRanges) {
+        m_keyRanges.step(now, actions);
+    }
+    continueStop(now, actions);
 }
 
 std::optional<TimePoint> Dispatcher::nextTimer() const
 {
     std::optional<TimePoint> next = m_scheduler.nextTimer();
-    if (!m_deadlines.empty() && (!next || m_deadlines.begin()->first < *next)) {
-        next = m_deadlines.begin()->first;
+    const auto include = [&next](std::optional<TimePoint> time) {
+        if (time && (!next || *time < *next)) {
+            next = time;
+        }
+    };
+    include(m_forwards.nextTimer());
+    if (m_options.keyRanges) {
+        include(m_keyRanges.nextTimer());
+        if (m_lastHandled) {
+            include(*m_lastHandled + m_options.keyTravelTime / 8);
+        }
+    }
+    if (m_draining && !m_stopped) {
+        include(m_sender.nextTimer());
+        include(m_sealed ? m_stopBy : finishJobsBy());
+    }
+    if (!m_deadlines.empty()) {
+        include(m_deadlines.begin()->first);
     }
     return next;
 }
 
 DispatcherStatus Dispatcher::status() const
 {
-    return {m_jobs.size(), m_scheduler.queuedTasks(), m_scheduler.runningTasks(), m_draining,
-            m_configuration};
+    return {m_jobs.size(),   m_scheduler.queuedTasks(), m_scheduler.runningTasks(), m_draining,
+            m_configuration, m_sealedSets.all().size(), m_keyRanges.heldCount()};
 }
 
 std::optional<JobView> Dispatcher::view(const JobId &id) const
@@ -59,109 +75,28 @@
 
 void Dispatcher::on(const JobSubmitted &event, TimePoint now, Actions &actions)
 {
-    const auto home = parseHomeJobId(event.job.id);
-    if (home && !m_tokens.isOwn(home->token)) {
-        actions.emplace_back(
-                AnswerCaller{event.request, event.job.id, Unknown{UnknownReason::HomeLost}});
-        return;
-    }
-    submitHere(event, home, now, actions);
+    submit(event.request, event.job, now, actions);
 }
 
-void Dispatcher::submitHere(const JobSubmitted &event, const std::optional<HomeJobId> &home,
-                            TimePoint now, Actions &actions)
-{
-    const JobSpec &job = event.job;
-    if (const auto known = m_jobs.find(job.id)) {
-        JobRecord &record = m_jobs.at(*known);
-        if (record.digest != digestOf(job)) {
-            actions.emplace_back(AnswerCaller{event.request, job.id,
-                                              NotRun{RefusalReason::IdReused, std::nullopt}});
-            return;
-        }
-        actions.emplace_back(noteFor(NoteKind::JobJoined, "resubmission", job.id));
-        if (record.outcome) {
-            actions.emplace_back(AnswerCaller{event.request, job.id, *record.outcome});
-            return;
-        }
-        record.waiting.push_back(event.request);
-        m_requests.emplace(event.request, *known);
-        return;
-    }
-
-    TimePoint forgetAt = now + m_options.keyValidity;
-    if (home) {
-        const TimePoint expires = home->token.issued + m_options.tokenLifetime;
-        forgetAt = expires + m_options.recordGrace;
-        const auto answer = [&](JobOutcome outcome) {
-            actions.emplace_back(AnswerCaller{event.request, job.id, std::move(outcome)});
-        };
-        if (!m_tokens.isGenuine(home->token)) {
-            return answer(NotRun{RefusalReason::TokenForged, std::nullopt});
-        }
-        if (now >= forgetAt) {
-            return answer(Unknown{UnknownReason::TokenExpired});
-        }
-        if (now >= expires) {
-            return answer(NotRun{RefusalReason::TokenExpired, Duration{}});
-        }
-        if (home->token.issued <= m_revokedBefore) {
-            return answer(NotRun{RefusalReason::TokenRevoked, Duration{}});
-        }
-    }
-    if (m_jobs.full()) {
-        if (home) {
-            m_revokedBefore = now;
-            actions.emplace_back(
-                    AnswerCaller{event.request, job.id,
-                                 NotRun{RefusalReason::TokenRevoked, m_options.recordGrace}});
-        } else {
-            actions.emplace_back(
-                    AnswerCaller{event.request, job.id, Unknown{UnknownReason::RecordTableFull}});
-        }
-        return;
-    }
-    if (m_draining) {
-        return refuse(event, {RefusalReason::Draining, Duration{}}, forgetAt, now, actions);
-    }
-    if (const auto refusal = m_scheduler.refusalFor(job, now)) {
-        return refuse(event, *refusal, forgetAt, now, actions);
-    }
-    const JobHandle handle = m_jobs.add(job, now, forgetAt);
-    JobRecord &record = m_jobs.at(handle);
-    record.waiting.push_back(event.request);
-    m_requests.emplace(event.request, handle);
-    m_deadlines.emplace(record.deadline, handle);
-    m_scheduler.enqueue(handle, record.spec, now);
-    actions.emplace_back(noteFor(NoteKind::JobAccepted, home ? "home-form" : "key-form", job.id,
-                                 std::to_string(job.tasks.size()) + " tasks"));
-}
-
-void Dispatcher::refuse(const JobSubmitted &event, NotRun refusal, TimePoint forgetAt,
-                        TimePoint now, Actions &actions)
-{
-    // Recorded, so that a delayed copy of the submission cannot run after this answer.
-    const JobHandle handle = m_jobs.add(event.job, now, forgetAt);
-    m_jobs.at(handle).waiting.push_back(event.request);
-    actions.emplace_back(noteFor(NoteKind::JobRefused, name(refusal.reason), event.job.id));
-    endJob(handle, refusal, actions);
-}
-
-void Dispatcher::on(const JobCancelled &event, TimePoint /*now*/, Actions &actions)
+void Dispatcher::on(const JobCancelled &event, TimePoint now, Actions &actions)
 {
     const auto job = m_jobs.find(event.job);
-    if (job && !m_jobs.at(*job).outcome) {
+    if (!job) {
+        return cancelUnseen(event.job, now, actions);
+    }
+    if (!m_jobs.at(*job).outcome) {
         giveUp(*job, RefusalReason::Cancelled, FailureReason::Cancelled, std::nullopt, actions);
     }
 }
 
 void Dispatcher::on(const CallerLeft &event, TimePoint /*now*/, Actions & /*actions*/)
 {
+    m_forwards.drop(event.request);
     const auto it = m_requests.find(event.request);
     if (it == m_requests.end()) {
         return;
     }
-    std::erase(m_jobs.at(it->second).waiting, event.request);
+    std::erase(m_jobs.at(it->second).waiting, Requester{event.request});
     m_requests.erase(it);
 }
 
@@ -169,7 +104,7 @@
 {
     const auto it = m_attempts.find(event.attempt);
     if (it == m_attempts.end()) {
-        actions.emplace_back(noteFor(NoteKind::UnknownAttempt, "unknown-attempt", {}));
+        actions.emplace_back(Note{NoteKind::UnknownAttempt, "unknown-attempt", {}, {}});
         return;
     }
     const Attempt attempt = it->second;
@@ -207,8 +142,8 @@
             return;
         }
         actions.emplace_back(
-                noteFor(NoteKind::TaskResent, name(it.reason), record.id,
-                        "task " + std::to_string(index) + ", " + attempt.upstream.value()));
+                Note{NoteKind::TaskResent, name(it.reason), record.id,
+                     "task " + std::to_string(index) + ", " + attempt.upstream.value()});
     };
     const auto failed = [&](const AttemptFailed &it) {
         const auto reason = it.reason == AttemptFailure::BadStatus ? FailureReason::TaskFailed
@@ -216,6 +151,9 @@
                                     ? FailureReason::CrossedReply
                             : it.reason == AttemptFailure::TimedOut ? FailureReason::DeadlinePassed
                                                                     : FailureReason::ConnectionLost;
+        if (!m_rules.failAfterReset && it.reason == AttemptFailure::ConnectionLost) {
+            return notStarted({NotStartedReason::RequestNotWritten});
+        }
         giveUp(job, RefusalReason::Cancelled, reason, std::nullopt, actions);
     };
     std::visit(Overloaded{completed, notStarted, failed}, result);
@@ -242,14 +180,16 @@
 void Dispatcher::endJob(JobHandle job, JobOutcome outcome, Actions &actions)
 {
     JobRecord &record = m_jobs.at(job);
-    for (const CallerRequestId &it : record.waiting) {
-        actions.emplace_back(AnswerCaller{it, record.id, outcome});
-        m_requests.erase(it);
+    for (const Requester &it : record.waiting) {
+        answer(it, record.id, outcome, actions);
+        if (const auto *request = std::get_if<CallerRequestId>(&it)) {
+            m_requests.erase(*request);
+        }
     }
     record.waiting.clear();
     m_deadlines.erase({record.deadline, job});
-    actions.emplace_back(noteFor(NoteKind::JobEnded, name(outcome), record.id,
-                                 std::string{reasonName(outcome)}));
+    actions.emplace_back(
+            Note{NoteKind::JobEnded, name(outcome), record.id, std::string{reasonName(outcome)}});
     m_jobs.end(job, std::move(outcome));
 }
 
@@ -265,33 +205,25 @@
     }
     m_configuration = event.version;
     m_scheduler.configure(event.upstreams, event.teams, now);
-    actions.emplace_back(noteFor(NoteKind::ConfigurationInForce, "accepted", {},
-                                 "version " + std::to_string(event.version.value())));
+    actions.emplace_back(Note{NoteKind::ConfigurationInForce,
+                              "accepted",
+                              {},
+                              "version " + std::to_string(event.version.value())});
 }
 
-void Dispatcher::on(const PeerMessageReceived & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
+void Dispatcher::on(const TableRowsRead &event, TimePoint now, Actions &actions)
 {
+    m_keyRanges.on(event, m_sealedSets, m_peers.linked().size(), now, actions);
 }
 
-void Dispatcher::on(const PeerLinkChanged & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
+void Dispatcher::on(const TableTransacted &event, TimePoint now, Actions &actions)
 {
+    m_keyRanges.on(event, now, actions);
 }
 
-void Dispatcher::on(const DrainRequested & /*event*/, TimePoint /*now*/, Actions &actions)
+void Dispatcher::on(const TableFailed &event, TimePoint now, Actions & /*actions*/)
 {
-    if (m_draining) {
-        return;
-    }
-    m_draining = true;
-    std::vector<JobHandle> unstarted;
-    for (const auto &[handle, record] : m_jobs.records()) {
-        if (!record.outcome && JobTable::startedTasks(record).empty()) {
-            unstarted.push_back(handle);
-        }
-    }
-    for (const JobHandle &it : unstarted) {
-        giveUp(it, RefusalReason::Draining, FailureReason::Cancelled, Duration{}, actions);
-    }
+    m_keyRanges.on(event, now);
 }
 
 void Dispatcher::on(const TimerFired & /*event*/, TimePoint /*now*/, Actions & /*actions*/)
@@ -301,10 +233,19 @@
 void Dispatcher::expire(TimePoint now, Actions &actions)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        giveUp(m_deadlines.begin()->second, RefusalReason::DeadlinePassed,
+        const JobHandle job = m_deadlines.begin()->second;
+        const bool shortened =
+                m_jobs.at(job).deadline < m_jobs.at(job).accepted + m_jobs.at(job).spec.deadline;
+        giveUp(job, shortened ? RefusalReason::KeyValidityPassed : RefusalReason::DeadlinePassed,
                FailureReason::DeadlinePassed, Duration{}, actions);
     }
-    m_jobs.forgetUntil(now);
+    for (const PendingForward &it : m_forwards.takeExpired(now)) {
+        answer(it.request, it.job, Unknown{UnknownReason::HomeUnreachable}, actions);
+    }
+    if (!m_sealed) {
+        m_jobs.forgetUntil(now);
+        forgetHandovers(now);
+    }
 }
 
 void Dispatcher::startDueTasks(TimePoint now, Actions &actions)
@@ -318,20 +259,11 @@
         record.states[index] = TaskState::Sent;
         const AttemptId attempt{m_nextAttempt++};
         m_attempts.emplace(attempt, Attempt{it.task, it.upstream});
-        actions.emplace_back(
-                noteFor(NoteKind::TaskPlaced, it.reason, record.id,
-                        "task " + std::to_string(index) + " on " + it.upstream.value()));
+        actions.emplace_back(Note{NoteKind::TaskPlaced, it.reason, record.id,
+                                  "task " + std::to_string(index) + " on " + it.upstream.value()});
         actions.emplace_back(StartTask{attempt, record.id, it.task.task, it.upstream, task.estimate,
                                        task.payload, record.deadline});
     }
 }
 
-void Dispatcher::finishDrain(Actions &actions)
-{
-    if (m_draining && !m_stopped && m_deadlines.empty()) {
-        m_stopped = true;
-        actions.emplace_back(Stopped{});
-    }
-}
-
 } // namespace rattandock::core
