--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -126,6 +126,8 @@
     /// Ends a job that cannot complete: not run if no task started, else failed.
     void giveUp(JobHandle job, RefusalReason ifUnstarted, FailureReason ifStarted,
                 std::optional<Duration> retryAfter, Actions &actions);
+    /// Ends the jobs with a queued task that no upstream can run any more.
+    void giveUpStranded(Actions &actions);
     void endJob(JobHandle job, JobOutcome outcome, Actions &actions);
     void expire(TimePoint now, Actions &actions);
     void startDueTasks(TimePoint now, Actions &actions);
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -6,6 +6,13 @@
 
 namespace rattandock::core {
 
+namespace {
+
+/// Another upstream of the size that a stranded job needs may be there by then.
+constexpr Duration strandedRetryAfter = std::chrono::seconds{1};
+
+} // namespace
+
 Dispatcher::Dispatcher(DispatcherOptions options, std::uint64_t seed, const SafetyRules &rules)
     : m_options(std::move(options))
     , m_rules(rules)
@@ -113,6 +120,7 @@
                              actions);
     if (event.upstreamLeaving) {
         m_scheduler.seeUpstream(attempt.upstream, UpstreamLife::Leaving, now, actions);
+        giveUpStranded(actions);
     }
     if (attempt.wanted) {
         completeAttempt(attempt, event.result, now, actions);
@@ -177,6 +185,14 @@
     }
 }
 
+void Dispatcher::giveUpStranded(Actions &actions)
+{
+    for (const JobHandle &it : m_scheduler.strandedJobs()) {
+        giveUp(it, RefusalReason::NoUpstreams, FailureReason::NoUpstreams, strandedRetryAfter,
+               actions);
+    }
+}
+
 void Dispatcher::endJob(JobHandle job, JobOutcome outcome, Actions &actions)
 {
     JobRecord &record = m_jobs.at(job);
@@ -196,6 +212,7 @@
 void Dispatcher::on(const UpstreamSeen &event, TimePoint now, Actions &actions)
 {
     m_scheduler.seeUpstream(event.upstream, event.life, now, actions);
+    giveUpStranded(actions);
 }
 
 void Dispatcher::on(const ConfigurationAccepted &event, TimePoint now, Actions &actions)
@@ -205,6 +222,7 @@
     }
     m_configuration = event.version;
     m_scheduler.configure(event.upstreams, event.teams, now);
+    giveUpStranded(actions);
     actions.emplace_back(Note{NoteKind::ConfigurationInForce,
                               "accepted",
                               {},
--- a/src/rattandock/core/dispatcher_test.cpp
+++ b/src/rattandock/core/dispatcher_test.cpp
@@ -151,4 +151,16 @@
     BOOST_TEST((answers[0].outcome == JobOutcome{Complete{{"x"}}}));
 }
 
+// Guards against a job that waits until its deadline for an upstream that has left.
+BOOST_AUTO_TEST_CASE(jobIsGivenUpWhenItsLastUpstreamLeaves)
+{
+    send(JobSubmitted{CallerRequestId{1}, job("a", 3)});
+    BOOST_REQUIRE_EQUAL(take<StartTask>().size(), 2);
+    send(UpstreamSeen{UpstreamId{"u1"}, UpstreamLife::Leaving});
+    const auto answers = take<AnswerCaller>();
+    BOOST_REQUIRE_EQUAL(answers.size(), 1);
+    const JobOutcome expected = Failed{FailureReason::NoUpstreams, {TaskIndex{0}, TaskIndex{1}}};
+    BOOST_TEST((answers[0].outcome == expected));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
