--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -1,6 +1,5 @@
 #include "metric_tables.hpp"
 
-#include "rattandock/core/placement_policy.hpp"
 #include "rattandock/core/reason.hpp"
 
 namespace rattandock::adapters::detail {
@@ -17,20 +16,6 @@
     return names;
 }
 
-std::vector<std::string_view> joined(std::vector<std::string_view> a,
-                                     const std::vector<std::string_view> &b)
-{
-    a.insert(a.end(), b.begin(), b.end());
-    return a;
-}
-
-std::vector<std::string_view> policyNames()
-{
-    constexpr std::size_t policies =
-            static_cast<std::size_t>(core::PlacementPolicyKind::PowerOfTwoChoices) + 1;
-    return namesOf<core::PlacementPolicyKind>(policies);
-}
-
 } // namespace
 
 std::vector<CounterFamily> counterFamilies()
@@ -39,7 +24,6 @@
     const auto failures = namesOf<core::FailureReason>(core::failureReasonCount);
     const auto unknowns = namesOf<core::UnknownReason>(core::unknownReasonCount);
     const auto notStarted = namesOf<core::NotStartedReason>(core::notStartedReasonCount);
-    const auto attemptFailures = namesOf<core::AttemptFailure>(core::attemptFailureCount);
     return {
             {"answers_complete", "Answers to callers with every result.", {"complete"}},
             {"answers_failed", "Answers of jobs that started and failed.", failures},
@@ -56,10 +40,14 @@
             {"job_ended",
              "Jobs that ended, by outcome.",
              {"complete", "failed", "not-run", "unknown"}},
-            {"task_placed", "Tasks sent to an upstream, by placement reason.", policyNames()},
+            {"task_placed",
+             "Tasks sent to an upstream, by placement reason.",
+             {"fastest-for-last", "fastest-for-longest", "slow-for-shortest", "other-zone",
+              "random", "round-robin", "least-outstanding", "power-of-two-choices"}},
             {"task_resent", "Tasks sent again because they did not start.", notStarted},
-            {"upstream_ejected", "Upstreams ejected after failures.",
-             joined(notStarted, attemptFailures)},
+            {"upstream_ejected", "Upstreams ejected after failures.", {"consecutive-failures"}},
+            {"upstream_restored", "Ejected upstreams in use again.", {"probe-completed"}},
+            {"upstream_leaving", "Upstreams that get no new work.", {"leaving"}},
             {"unknown_attempt",
              "Ends of attempts that the core does not know.",
              {"unknown-attempt"}},
