--- a/src/rattandock/core/dispatcher_submit.cpp
+++ b/src/rattandock/core/dispatcher_submit.cpp
@@ -165,8 +165,9 @@
     if (m_sealed && m_rules.sealBeforeHandover) {
         // The successor answers sealed-never-seen for an id without a record, so this stays true.
         return answer(from, job.id,
-                      home ? JobOutcome{NotRun{RefusalReason::Draining, Duration{}}}
-                           : JobOutcome{Unknown{UnknownReason::HolderUnreachable}},
+                      home || !m_options.keyRanges
+                              ? JobOutcome{NotRun{RefusalReason::Draining, Duration{}}}
+                              : JobOutcome{Unknown{UnknownReason::HolderUnreachable}},
                       actions);
     }
     if (m_jobs.full()) {
