Keep the slot of a sent task until the upstream replies

Cause: when a job ended early, the daemon closed the connections of its other attempts and counted their slots as free, while the upstreams still ran the tasks. Change: a stopped attempt that was sent keeps its connection until the reply or replyGraceMs after the job's deadline; its result is dropped.

--- a/include/rattandock/core/action.hpp
+++ b/include/rattandock/core/action.hpp
@@ -21,11 +21,15 @@
     UpstreamId upstream;
     Duration estimate{};
     std::string payload;
-    /// The driver reports TimedOut if there is no reply by then.
-    TimePoint deadline;
+    /// The driver does not begin to send the request from then on.
+    TimePoint sendBy;
+    /// The driver closes the connection and reports TimedOut if there is no reply by then.
+    TimePoint replyBy;
 };
 
-/// Close the attempt's connection; its result is of no use any more. AttemptEnded still follows.
+/// The attempt's result is of no use any more. The driver does not send the request if that has
+/// not begun. A request that was sent runs on: the upstream's slot is busy until its task ends,
+/// and only the reply tells when. AttemptEnded still follows.
 struct StopTask
 {
     AttemptId attempt;
--- a/include/rattandock/core/dispatcher_options.hpp
+++ b/include/rattandock/core/dispatcher_options.hpp
@@ -54,6 +54,9 @@
     /// Share of starts that may be sent again because they provably did not start.
     double retryBudgetShare = 0.1;
     Duration retryBackoff = 10ms;
+    /// An attempt whose job has ended keeps its connection this long after the job's deadline, so
+    /// that the upstream's slot is known to be busy.
+    Duration replyGrace = 10s;
     /// A planned stop waits this long for running jobs and for a successor.
     Duration stopLimit = 30s;
     /// A successor that confirms nothing for this long is replaced by another peer.
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -168,6 +168,7 @@
     readMilliseconds(reader, "recordGraceMs", 1000, maxHourMs, core.recordGrace);
     readMilliseconds(reader, "keyValidityMs", 1000, maxHourMs, core.keyValidity);
     readMilliseconds(reader, "stopLimitMs", 0, maxHourMs, core.stopLimit);
+    readMilliseconds(reader, "replyGraceMs", 0, 60'000, core.replyGrace);
     readMilliseconds(reader, "retryBackoffMs", 1, 10'000, core.retryBackoff);
     if (const auto share = reader.number("retryBudgetShare", 0, 1)) {
         core.retryBudgetShare = *share;
--- a/src/rattandock/adapters/settings_page_test.cpp
+++ b/src/rattandock/adapters/settings_page_test.cpp
@@ -125,6 +125,7 @@
             {"recordGraceMs", toMilliseconds(core.recordGrace)},
             {"keyValidityMs", toMilliseconds(core.keyValidity)},
             {"stopLimitMs", toMilliseconds(core.stopLimit)},
+            {"replyGraceMs", toMilliseconds(core.replyGrace)},
             {"retryBackoffMs", toMilliseconds(core.retryBackoff)},
             {"connectionsPerUpstream", it.upstreamClient.connectionsPerUpstream},
             {"connectTimeoutMs", toMilliseconds(it.upstreamClient.connectTimeout)},
--- a/src/rattandock/adapters/upstream_client.cpp
+++ b/src/rattandock/adapters/upstream_client.cpp
@@ -88,9 +88,6 @@
             return;
         }
         it->second.stopped = true;
-        if (it->second.stream != nullptr) {
-            it->second.stream->cancel();
-        }
     }
 
     void closeIdle()
@@ -192,12 +189,12 @@
     {
         Running &running = m_running[task.attempt];
         const TimePoint now = m_clock.now();
-        if (running.stopped || now >= task.deadline) {
+        if (running.stopped || now >= task.sendBy) {
             ended.result = AttemptNotStarted{NotStartedReason::RequestNotWritten};
             return true;
         }
         running.stream = &connection.stream;
-        connection.stream.expires_after(task.deadline - now);
+        connection.stream.expires_after(task.replyBy - now);
         const std::string request = requestText(task);
         const IoEnd written = awaitIo([&](auto handle) {
             asio::async_write(connection.stream, asio::buffer(request), handle);
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -280,7 +280,8 @@
         actions.emplace_back(Note{NoteKind::TaskPlaced, it.reason, record.id,
                                   "task " + std::to_string(index) + " on " + it.upstream.value()});
         actions.emplace_back(StartTask{attempt, record.id, it.task.task, it.upstream, task.estimate,
-                                       task.payload, record.deadline});
+                                       task.payload, record.deadline,
+                                       record.deadline + m_options.replyGrace});
     }
 }
 
