--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -16,6 +16,11 @@
     return names;
 }
 
+std::vector<std::string_view> placementReasonNames()
+{
+    return {core::placementReasons.begin(), core::placementReasons.end()};
+}
+
 } // namespace
 
 std::vector<CounterFamily> counterFamilies()
@@ -40,10 +45,8 @@
             {"job_ended",
              "Jobs that ended, by outcome.",
              {"complete", "failed", "not-run", "unknown"}},
-            {"task_placed",
-             "Tasks sent to an upstream, by placement reason.",
-             {"fastest-for-last", "fastest-for-longest", "slow-for-shortest", "other-zone",
-              "random", "round-robin", "least-outstanding", "power-of-two-choices"}},
+            {"task_placed", "Tasks sent to an upstream, by placement reason.",
+             placementReasonNames()},
             {"task_resent", "Tasks sent again because they did not start.", notStarted},
             {"upstream_ejected", "Upstreams ejected after failures.", {"consecutive-failures"}},
             {"upstream_restored", "Ejected upstreams in use again.", {"probe-completed"}},
