Carry peer messages over HTTP/2 streams

PeerStreams implements the peer port: one outgoing nghttp2 connection to each peer carries messages as request bodies, one body at a time so that order is kept; the listener takes those of the peers. A link is up from the peer's first 204 until the connection ends. A connection without any byte for 3 s ends, a queue above its bound closes its link, and a closed link drops and counts what it had queued, so nothing is sent twice.

--- /dev/null
+++ b/include/rattandock/adapters/peer_streams.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "rattandock/adapters/io_threads.hpp"
+#include "rattandock/adapters/metrics.hpp"
+#include "rattandock/base/result.hpp"
+#include "rattandock/base/units.hpp"
+#include "rattandock/ports/action_ports.hpp"
+#include "rattandock/ports/event_sink.hpp"
+
+namespace rattandock::adapters {
+
+/// Where another entry VM listens for peers.
+struct PeerAddress
+{
+    VmId vm;
+    ZoneId zone;
+    boost::asio::ip::tcp::endpoint address;
+};
+
+struct PeerStreamsOptions
+{
+    VmId vm;
+    Incarnation incarnation;
+    Duration heartbeatInterval = std::chrono::seconds{1};
+    /// A link on which nothing arrives for this long is down.
+    Duration silenceLimit = std::chrono::seconds{3};
+    Duration connectTimeout = std::chrono::seconds{1};
+    /// Pause before a reconnect: doubles from the first to the last value, times 0.5 to 1.
+    Duration firstPause = std::chrono::milliseconds{100};
+    Duration lastPause = std::chrono::seconds{5};
+    /// Messages that wait for one peer; a link above the bound is closed.
+    Bytes sendQueue{16U << 20U};
+    std::size_t maxConnections = 256;
+    /// Seed of the jitter.
+    std::uint64_t seed = 0;
+};
+
+/// Streams between the daemons: one outgoing connection to each peer carries the messages to it.
+///
+/// A link is up from the peer's first acceptance of a message on the connection to the
+/// connection's end. A message is sent at most once; what a closed link had queued is dropped and
+/// counted. Messages to one peer keep their order within a connection.
+///
+/// Counters: `peer_messages_sent` and `peer_messages_received` by message type,
+/// `peer_messages_dropped`, `peer_messages_refused`, `peer_links_closed` and `peer_connections` by
+/// reason.
+class PeerStreams final : public ports::PeerPort
+{
+public:
+    /// Gives this VM's heartbeat to the function, on any thread, at once or later or never.
+    using HeartbeatSource = std::function<void(std::function<void(core::Heartbeat)> give)>;
+
+    /// Binds and accepts. Errors: those of bind and listen.
+    /// Precondition: events and metrics outlive the object.
+    static IoResult<std::unique_ptr<PeerStreams>>
+    listen(IoThreads &threads, const boost::asio::ip::tcp::endpoint &endpoint,
+           PeerStreamsOptions options, ports::EventSink &events, Metrics &metrics,
+           HeartbeatSource heartbeats);
+
+    PeerStreams(const PeerStreams &) = delete;
+    PeerStreams &operator=(const PeerStreams &) = delete;
+    /// Precondition: stop() has returned.
+    ~PeerStreams() override;
+
+    /// Opens the links and lets these VMs send. Precondition: called once, before any send().
+    void connect(const std::vector<PeerAddress> &peers);
+
+    void send(core::SendToPeer message) override;
+
+    /// The bound port, also when port 0 was asked for.
+    std::uint16_t port() const;
+
+    /// Closes all connections and returns when no fiber of the object runs any more.
+    /// Thread safety: from outside the I/O threads; no send() may follow.
+    void stop();
+
+private:
+    struct State;
+    explicit PeerStreams(std::shared_ptr<State> state);
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace rattandock::adapters
--- /dev/null
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -0,0 +1,321 @@
+#include "rattandock/adapters/peer_streams.hpp"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <list>
+#include <set>
+#include <unordered_map>
+
+#include "detail/peer_connection.hpp"
+#include "detail/peer_link.hpp"
+#include "rattandock/adapters/io_wait.hpp"
+#include "rattandock/adapters/log.hpp"
+#include "rattandock/adapters/peer_codec.hpp"
+
+namespace rattandock::adapters {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using detail::Http2Session;
+using detail::PeerConnection;
+using detail::PeerLink;
+
+struct PeerStreams::State : std::enable_shared_from_this<PeerStreams::State>
+{
+    /// One per I/O thread; touched by that thread only, but `links` is filled before.
+    struct PerThread
+    {
+        explicit PerThread(asio::io_context &io)
+            : ticker(io)
+        {
+        }
+
+        asio::steady_timer ticker;
+        std::vector<std::unique_ptr<PeerLink>> links;
+        std::list<PeerConnection *> incoming;
+        std::set<VmId> knownVms;
+    };
+    struct Place
+    {
+        std::size_t thread = 0;
+        PeerLink *link = nullptr;
+    };
+
+    State(IoThreads &owner, PeerStreamsOptions with, ports::EventSink &sink, Metrics &counters,
+          HeartbeatSource source)
+        : threads(owner)
+        , options(std::move(with))
+        , events(sink)
+        , metrics(counters)
+        , heartbeats(std::move(source))
+        , acceptor(owner.io(0))
+    {
+        for (std::size_t n = 0; n < threads.count(); ++n) {
+            perThread.push_back(std::make_unique<PerThread>(threads.io(n)));
+        }
+    }
+
+    IoThreads &threads;
+    const PeerStreamsOptions options;
+    ports::EventSink &events;
+    Metrics &metrics;
+    const HeartbeatSource heartbeats;
+    tcp::acceptor acceptor;
+    std::vector<std::unique_ptr<PerThread>> perThread;
+    std::unordered_map<VmId, Place> places;
+    std::atomic<std::size_t> fibers = 0;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<bool> stopping = false;
+
+    /// Runs the function as a fiber that stop() waits for.
+    void spawnCounted(std::size_t thread, std::function<void()> function);
+    void acceptLoop();
+    void serve(std::size_t thread, tcp::socket socket);
+    bool receive(std::size_t thread, VmId &sender, std::string_view bytes);
+    bool refuse(std::string_view reason);
+    void tick(std::size_t thread);
+    void requestHeartbeat(std::size_t thread, const PeerLink *only);
+    void closeAll(std::size_t thread);
+};
+
+void PeerStreams::State::spawnCounted(std::size_t thread, std::function<void()> function)
+{
+    ++fibers;
+    threads.spawn(thread, [self = shared_from_this(), function = std::move(function)] {
+        function();
+        --self->fibers;
+    });
+}
+
+void PeerStreams::State::acceptLoop()
+{
+    std::size_t next = 0;
+    while (!stopping) {
+        const std::size_t thread = next++ % threads.count();
+        auto accepted = std::make_shared<std::optional<tcp::socket>>();
+        const IoEnd end = awaitIo([&](auto handle) {
+            acceptor.async_accept(threads.io(thread),
+                                  [accepted, handle](auto ec, tcp::socket socket) mutable {
+                                      *accepted = std::move(socket);
+                                      handle(ec);
+                                  });
+        });
+        if (end.ec == asio::error::operation_aborted || !acceptor.is_open()) {
+            return;
+        }
+        if (end.ec) {
+            // Out of descriptors or a connection that was reset before its accept.
+            asio::steady_timer wait{threads.io(0), std::chrono::milliseconds{10}};
+            awaitIo([&wait](auto handle) { wait.async_wait(handle); });
+            continue;
+        }
+        if (connections >= options.maxConnections) {
+            metrics.count("peer_connections", "too-many");
+            continue;
+        }
+        ++connections;
+        spawnCounted(thread, [this, thread, accepted] {
+            serve(thread, std::move(**accepted));
+            --connections;
+        });
+    }
+}
+
+void PeerStreams::State::serve(std::size_t thread, tcp::socket socket)
+{
+    if (stopping) {
+        return;
+    }
+    VmId sender;
+    PeerConnection connection{
+            boost::beast::tcp_stream{std::move(socket)},
+            {Http2Session::Side::Server, options.silenceLimit, maxPeerMessageBytes},
+            {[&](const std::string &bytes) { return receive(thread, sender, bytes); }, nullptr},
+            nullptr};
+    auto &incoming = perThread[thread]->incoming;
+    const auto place = incoming.insert(incoming.end(), &connection);
+    const PeerConnection::End end = connection.run();
+    incoming.erase(place);
+    metrics.count("peer_connections", name(end));
+    if (end == PeerConnection::End::MessageTooLarge) {
+        refuse("too-large");
+    }
+}
+
+bool PeerStreams::State::receive(std::size_t thread, VmId &sender, std::string_view bytes)
+{
+    auto decoded = decodePeerMessage(bytes);
+    if (!decoded) {
+        return refuse(name(decoded.error()));
+    }
+    PeerEnvelope &envelope = decoded.value();
+    if (!perThread[thread]->knownVms.contains(envelope.sender)) {
+        return refuse("unknown-vm");
+    }
+    if (sender.value().empty()) {
+        sender = envelope.sender;
+    } else if (sender != envelope.sender) {
+        return refuse("changed-origin");
+    }
+    metrics.count("peer_messages_received", core::name(envelope.message));
+    events.post(core::PeerMessageReceived{std::move(envelope.sender), std::move(envelope.message)});
+    return true;
+}
+
+bool PeerStreams::State::refuse(std::string_view reason)
+{
+    metrics.count("peer_messages_refused", reason);
+    log(LogLevel::Warn, LogPart::Peer, "a message was refused: " + std::string{reason});
+    return false;
+}
+
+void PeerStreams::State::tick(std::size_t thread)
+{
+    asio::steady_timer &ticker = perThread[thread]->ticker;
+    while (!stopping) {
+        ticker.expires_after(options.heartbeatInterval);
+        awaitIo([&ticker](auto handle) { ticker.async_wait(handle); });
+        if (!stopping) {
+            requestHeartbeat(thread, nullptr);
+        }
+    }
+}
+
+void PeerStreams::State::requestHeartbeat(std::size_t thread, const PeerLink *only)
+{
+    heartbeats([weak = weak_from_this(), thread, only](core::Heartbeat heartbeat) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        asio::post(self->threads.io(thread),
+                   [weak, thread, only, message = core::PeerMessage{std::move(heartbeat)}] {
+                       const auto state = weak.lock();
+                       if (!state || state->stopping) {
+                           return;
+                       }
+                       for (const auto &link : state->perThread[thread]->links) {
+                           if (link->isConnected() && (only == nullptr || only == link.get())) {
+                               link->send(message);
+                           }
+                       }
+                   });
+    });
+}
+
+void PeerStreams::State::closeAll(std::size_t thread)
+{
+    PerThread &here = *perThread[thread];
+    here.ticker.cancel();
+    if (thread == 0) {
+        boost::system::error_code ec;
+        acceptor.close(ec);
+    }
+    for (const auto &link : here.links) {
+        link->stop();
+    }
+    for (PeerConnection *const it : here.incoming) {
+        it->close(PeerConnection::End::Closed);
+    }
+}
+
+IoResult<std::unique_ptr<PeerStreams>>
+PeerStreams::listen(IoThreads &threads, const tcp::endpoint &endpoint, PeerStreamsOptions options,
+                    ports::EventSink &events, Metrics &metrics, HeartbeatSource heartbeats)
+{
+    auto state = std::make_shared<State>(threads, std::move(options), events, metrics,
+                                         std::move(heartbeats));
+    boost::system::error_code ec;
+    tcp::acceptor &acceptor = state->acceptor;
+    acceptor.open(endpoint.protocol(), ec);
+    if (!ec) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    }
+    if (!ec) {
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    if (ec) {
+        return ec;
+    }
+    state->spawnCounted(0, [state = state.get()] { state->acceptLoop(); });
+    return std::unique_ptr<PeerStreams>{new PeerStreams(std::move(state))};
+}
+
+PeerStreams::PeerStreams(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+PeerStreams::~PeerStreams() = default;
+
+void PeerStreams::connect(const std::vector<PeerAddress> &peers)
+{
+    State *const state = m_state.get();
+    for (std::size_t n = 0; n < peers.size(); ++n) {
+        const std::size_t thread = n % state->threads.count();
+        auto &links = state->perThread[thread]->links;
+        const std::size_t index = links.size();
+        links.push_back(std::make_unique<PeerLink>(
+                state->threads.io(thread), peers[n], state->options, state->events, state->metrics,
+                [state, thread, index] {
+                    state->requestHeartbeat(thread, state->perThread[thread]->links[index].get());
+                }));
+        state->places[peers[n].vm] = {thread, links.back().get()};
+    }
+    for (std::size_t n = 0; n < state->threads.count(); ++n) {
+        state->spawnCounted(n, [state, n, peers] {
+            State::PerThread &here = *state->perThread[n];
+            for (const PeerAddress &it : peers) {
+                here.knownVms.insert(it.vm);
+            }
+            for (const auto &link : here.links) {
+                state->spawnCounted(n, [it = link.get()] { it->run(); });
+            }
+            state->tick(n);
+        });
+    }
+}
+
+void PeerStreams::send(core::SendToPeer message)
+{
+    const auto place = m_state->places.find(message.peer);
+    if (place == m_state->places.end()) {
+        m_state->metrics.count("peer_messages_dropped", "unknown-vm");
+        return;
+    }
+    const auto [thread, link] = place->second;
+    asio::post(m_state->threads.io(thread),
+               [weak = m_state->weak_from_this(), to = link, sent = std::move(message.message)] {
+                   const auto state = weak.lock();
+                   if (state && !state->stopping) {
+                       to->send(sent);
+                   }
+               });
+}
+
+std::uint16_t PeerStreams::port() const
+{
+    return m_state->acceptor.local_endpoint().port();
+}
+
+void PeerStreams::stop()
+{
+    m_state->stopping = true;
+    for (std::size_t n = 0; n < m_state->threads.count(); ++n) {
+        std::promise<void> closed;
+        m_state->threads.spawn(n, [state = m_state, n, &closed] {
+            state->closeAll(n);
+            closed.set_value();
+        });
+        closed.get_future().wait();
+    }
+    while (m_state->fibers > 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+}
+
+} // namespace rattandock::adapters
--- /dev/null
+++ b/src/rattandock/adapters/peer_streams_test.cpp
@@ -0,0 +1,325 @@
+#include "rattandock/adapters/peer_streams.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "detail/http2_session.hpp"
+#include "rattandock/adapters/peer_codec.hpp"
+
+using namespace rattandock;
+using namespace rattandock::adapters;
+using boost::asio::ip::tcp;
+using detail::Http2Session;
+
+namespace {
+
+const tcp::endpoint anyPort{boost::asio::ip::make_address("127.0.0.1"), 0};
+
+/// ctest's limit ends a test whose condition never comes.
+void waitUntil(const std::function<bool()> &condition)
+{
+    while (!condition()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+}
+
+class EventLog final : public ports::EventSink
+{
+public:
+    void post(core::Event event) override
+    {
+        const std::lock_guard lock{m_mutex};
+        if (const auto *const link = std::get_if<core::PeerLinkChanged>(&event)) {
+            m_links.push_back(link->up);
+        } else if (const auto *const it = std::get_if<core::PeerMessageReceived>(&event)) {
+            if (const auto *const delta = std::get_if<core::ConfigurationDelta>(&it->message)) {
+                m_versions.push_back(delta->version.value());
+            }
+        }
+    }
+
+    std::vector<bool> links() const
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_links;
+    }
+    bool isUp() const
+    {
+        const auto all = links();
+        return !all.empty() && all.back();
+    }
+    std::vector<std::uint64_t> versions() const
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_versions;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<bool> m_links;
+    std::vector<std::uint64_t> m_versions;
+};
+
+PeerStreamsOptions optionsOf(const std::string &vm)
+{
+    PeerStreamsOptions options;
+    options.vm = VmId{vm};
+    options.incarnation = Incarnation{7};
+    options.heartbeatInterval = std::chrono::milliseconds{20};
+    options.firstPause = std::chrono::milliseconds{5};
+    options.lastPause = std::chrono::milliseconds{50};
+    options.seed = 20261204;
+    return options;
+}
+
+/// One VM's streams with threads, counters and a log of its own.
+class Node
+{
+public:
+    explicit Node(const PeerStreamsOptions &options, const tcp::endpoint &endpoint = anyPort)
+        : threads(2)
+        , streams(PeerStreams::listen(threads, endpoint, options, events, metrics,
+                                      [options](const auto &give) {
+                                          core::Heartbeat it;
+                                          it.vm = options.vm;
+                                          it.incarnation = options.incarnation;
+                                          give(it);
+                                      })
+                          .value())
+    {
+    }
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+    ~Node()
+    {
+        streams->stop();
+        streams.reset();
+    }
+
+    tcp::endpoint address() const { return {anyPort.address(), streams->port()}; }
+
+    void sendVersion(const std::string &to, std::uint64_t version, std::size_t bytes = 0)
+    {
+        streams->send({VmId{to}, core::ConfigurationDelta{ConfigurationVersion{version},
+                                                          std::string(bytes, 'x')}});
+    }
+
+    std::string countOf(const std::string &name, const std::string &reason) const
+    {
+        const std::string key = "rattandock_" + name + "_total{reason=\"" + reason + "\"} ";
+        const std::string text = metrics.text();
+        const auto at = text.find(key);
+        return at == std::string::npos
+                       ? "0"
+                       : text.substr(at + key.size(), text.find('\n', at) - at - key.size());
+    }
+
+    EventLog events;
+    Metrics metrics;
+    IoThreads threads;
+    std::unique_ptr<PeerStreams> streams;
+};
+
+PeerAddress addressOf(const std::string &vm, const tcp::endpoint &endpoint)
+{
+    return {VmId{vm}, ZoneId{"z1"}, endpoint};
+}
+
+void connectBoth(Node &a, Node &b)
+{
+    a.streams->connect({addressOf("b", b.address())});
+    b.streams->connect({addressOf("a", a.address())});
+    waitUntil([&] { return a.events.isUp() && b.events.isUp(); });
+}
+
+/// Holds all I/O threads of a node while it lives, as a stopped process would.
+class Freeze
+{
+public:
+    explicit Freeze(Node &node)
+    {
+        for (std::size_t n = 0; n < node.threads.count(); ++n) {
+            std::promise<void> began;
+            node.threads.spawn(n, [&began, end = m_ended] {
+                began.set_value();
+                end.wait();
+            });
+            began.get_future().wait();
+        }
+    }
+    Freeze(const Freeze &) = delete;
+    Freeze &operator=(const Freeze &) = delete;
+    ~Freeze() { m_end.set_value(); }
+
+private:
+    std::promise<void> m_end;
+    std::shared_future<void> m_ended = m_end.get_future().share();
+};
+
+/// Sends the bytes as one message to the node; false if they were refused or the connection closed.
+bool isAccepted(const Node &node, const std::vector<std::string> &messages)
+{
+    boost::asio::io_context io;
+    tcp::socket socket{io};
+    socket.connect(node.address());
+    std::size_t replies = 0;
+    bool accepted = true;
+    const auto onReply = [&](bool ok) {
+        ++replies;
+        accepted = accepted && ok;
+    };
+    Http2Session session{Http2Session::Side::Client, {nullptr, onReply}, maxPeerMessageBytes};
+    std::array<char, 16384> buf{};
+    std::size_t submitted = 0;
+    boost::system::error_code ec;
+    while (replies < messages.size()) {
+        if (submitted < messages.size() && session.canSubmit()) {
+            session.submit(messages[submitted++]);
+        }
+        std::string out;
+        session.fillOutput(out, 65536);
+        boost::asio::write(socket, boost::asio::buffer(out), ec);
+        const std::size_t n = ec ? 0 : socket.read_some(boost::asio::buffer(buf), ec);
+        if (ec || session.receive({buf.data(), n}) != Http2Session::Fault::None) {
+            return false;
+        }
+    }
+    return accepted;
+}
+
+std::string messageFrom(const std::string &vm)
+{
+    return encodePeerMessage({VmId{vm}, Incarnation{1},
+                              core::ConfigurationDelta{ConfigurationVersion{1}, "x"}})
+            .value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerStreamsTest)
+
+// Guards against messages that overtake each other, are lost or come twice, also large ones.
+BOOST_AUTO_TEST_CASE(messagesArriveOnceInOrderBothWays)
+{
+    Node a{optionsOf("a")};
+    Node b{optionsOf("b")};
+    connectBoth(a, b);
+    std::vector<std::uint64_t> versions;
+    for (std::uint64_t n = 0; n < 300; ++n) {
+        const std::size_t bytes = n % 100 == 50 ? 3U << 20U : n;
+        a.sendVersion("b", n, bytes);
+        b.sendVersion("a", n, bytes);
+        versions.push_back(n);
+    }
+    waitUntil(
+            [&] { return b.events.versions().size() >= 300 && a.events.versions().size() >= 300; });
+    BOOST_TEST(a.events.versions() == versions);
+    BOOST_TEST(b.events.versions() == versions);
+}
+
+// Guards against a link that stays down after a restart, or that sends old messages again.
+BOOST_AUTO_TEST_CASE(reconnectsAfterARestartAndSendsNothingTwice)
+{
+    Node a{optionsOf("a")};
+    auto b = std::make_unique<Node>(optionsOf("b"));
+    const tcp::endpoint address = b->address();
+    connectBoth(a, *b);
+    a.sendVersion("b", 1);
+    waitUntil([&] { return !b->events.versions().empty(); });
+    b.reset();
+    waitUntil([&] { return !a.events.isUp(); });
+    a.sendVersion("b", 2);
+    waitUntil([&] { return a.countOf("peer_messages_dropped", "link-down") == "1"; });
+    b = std::make_unique<Node>(optionsOf("b"), address);
+    b->streams->connect({addressOf("a", a.address())});
+    waitUntil([&] { return a.events.isUp(); });
+    a.sendVersion("b", 3);
+    waitUntil([&] { return !b->events.versions().empty(); });
+    BOOST_TEST(b->events.versions() == std::vector<std::uint64_t>{3});
+}
+
+// Guards against a link to a stopped process that counts as up for ever.
+BOOST_AUTO_TEST_CASE(silentPeerIsDownAndComesBack)
+{
+    PeerStreamsOptions options = optionsOf("a");
+    options.silenceLimit = std::chrono::milliseconds{200};
+    Node a{options};
+    Node b{optionsOf("b")};
+    connectBoth(a, b);
+    {
+        const Freeze frozen{b};
+        waitUntil([&] { return !a.events.isUp(); });
+        BOOST_TEST(a.countOf("peer_links_closed", "silent") != "0");
+    }
+    waitUntil([&] { return a.events.isUp(); });
+}
+
+// Guards against a queue that grows without bound while the peer takes nothing.
+BOOST_AUTO_TEST_CASE(fullQueueClosesTheLink)
+{
+    PeerStreamsOptions options = optionsOf("a");
+    options.silenceLimit = std::chrono::minutes{5};
+    options.sendQueue = Bytes{4U << 20U};
+    Node a{options};
+    Node b{optionsOf("b")};
+    connectBoth(a, b);
+    const Freeze frozen{b};
+    for (std::uint64_t n = 0; n < 20; ++n) {
+        a.sendVersion("b", n, 1U << 20U);
+    }
+    waitUntil([&] { return !a.events.isUp(); });
+    BOOST_TEST(a.countOf("peer_messages_dropped", "queue-full") == "1");
+    waitUntil([&] { return a.countOf("peer_links_closed", "queue-full") == "1"; });
+}
+
+// Guards against a message of another protocol version, VM or size that reaches the core.
+BOOST_AUTO_TEST_CASE(refusesAndCountsBadMessages)
+{
+    Node a{optionsOf("a")};
+    a.streams->connect({addressOf("b", anyPort), addressOf("c", anyPort)});
+    waitUntil([&] { return isAccepted(a, {messageFrom("b")}); });
+    std::string otherVersion = messageFrom("b");
+    ++otherVersion.at(4);
+    BOOST_TEST(!isAccepted(a, {otherVersion}));
+    BOOST_TEST(a.countOf("peer_messages_refused", "wrong-version") == "1");
+    BOOST_TEST(!isAccepted(a, {messageFrom("b") + "x"}));
+    BOOST_TEST(a.countOf("peer_messages_refused", "wrong-size") == "1");
+    const std::string unknownBefore = a.countOf("peer_messages_refused", "unknown-vm");
+    BOOST_TEST(!isAccepted(a, {messageFrom("stranger")}));
+    BOOST_TEST(a.countOf("peer_messages_refused", "unknown-vm") != unknownBefore);
+    BOOST_TEST(!isAccepted(a, {messageFrom("b"), messageFrom("c")}));
+    BOOST_TEST(a.countOf("peer_messages_refused", "changed-origin") == "1");
+    BOOST_TEST(!isAccepted(a, {std::string(maxPeerMessageBytes + 1, 'x')}));
+    waitUntil([&] { return a.countOf("peer_messages_refused", "too-large") == "1"; });
+    BOOST_TEST(a.events.versions() == (std::vector<std::uint64_t>{1, 1}));
+}
+
+// Guards against bytes that are no HTTP/2 and keep the connection open.
+BOOST_AUTO_TEST_CASE(closesAConnectionThatIsNoHttp2)
+{
+    Node a{optionsOf("a")};
+    boost::asio::io_context io;
+    tcp::socket socket{io};
+    socket.connect(a.address());
+    boost::asio::write(socket, boost::asio::buffer(std::string(1000, 'x')));
+    waitUntil([&] { return a.countOf("peer_connections", "protocol-violation") == "1"; });
+}
+
+// Guards against stop() that waits for a peer which never answers.
+BOOST_AUTO_TEST_CASE(stopsWhileAPeerDoesNotAnswer)
+{
+    boost::asio::io_context io;
+    const tcp::acceptor mute{io, anyPort};
+    PeerStreamsOptions options = optionsOf("a");
+    options.silenceLimit = std::chrono::minutes{5};
+    Node a{options};
+    a.streams->connect(
+            {addressOf("b", mute.local_endpoint()), addressOf("c", {anyPort.address(), 1})});
+    waitUntil([&] { return a.countOf("peer_messages_sent", "heartbeat") != "0"; });
+    BOOST_TEST(a.events.links().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
