Link the daemons by the settings peerAddress and peers

A daemon with a peerAddress serves peers there and opens a link to each of its peers; findings name peers without a listener, doubled VMs and addresses, and addresses that are not on the loopback. Heartbeats come from the decision thread, so that a daemon whose decisions hang sends none. A stop first waits up to 1 s for the replies to what was sent: without it the last messages of a planned stop were dropped (test stopSendsWhatIsQueued: 0 of 3 messages of 3 MiB arrived).

--- a/include/rattandock/adapters/peer_streams.hpp
+++ b/include/rattandock/adapters/peer_streams.hpp
@@ -36,6 +36,9 @@
     /// Messages that wait for one peer; a link above the bound is closed.
     Bytes sendQueue{16U << 20U};
     std::size_t maxConnections = 256;
+    /// stop() waits this long for the replies to what was sent; a planned stop ends with a
+    /// handover.
+    Duration settleLimit = std::chrono::seconds{1};
     /// Seed of the jitter.
     std::uint64_t seed = 0;
 };
@@ -75,8 +78,9 @@
     /// The bound port, also when port 0 was asked for.
     std::uint16_t port() const;
 
-    /// Closes all connections and returns when no fiber of the object runs any more.
-    /// Thread safety: from outside the I/O threads; no send() may follow.
+    /// Waits until each peer has replied to all messages or settleLimit has passed, closes all
+    /// connections and returns when no fiber of the object runs any more. Later messages are
+    /// dropped. Thread safety: from outside the I/O threads.
     void stop();
 
 private:
--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "rattandock/adapters/http_server.hpp"
 #include "rattandock/adapters/job_json.hpp"
+#include "rattandock/adapters/peer_streams.hpp"
 #include "rattandock/adapters/upstream_client.hpp"
 #include "rattandock/base/result.hpp"
 #include "rattandock/core/dispatcher_options.hpp"
@@ -27,6 +29,11 @@
 {
     boost::asio::ip::tcp::endpoint callerAddress;
     boost::asio::ip::tcp::endpoint operatorAddress;
+    /// Own listener for peers; a daemon without it has none.
+    std::optional<boost::asio::ip::tcp::endpoint> peerAddress;
+    std::vector<PeerAddress> peers;
+    /// The VM and the incarnation are those of `dispatcher`.
+    PeerStreamsOptions peerStreams;
     std::size_t ioThreads = 2;
     LogLevel logLevel = LogLevel::Info;
     HttpServerLimits http;
--- a/include/rattandock/app/daemon.hpp
+++ b/include/rattandock/app/daemon.hpp
@@ -21,6 +21,8 @@
 
     std::uint16_t callerPort() const;
     std::uint16_t operatorPort() const;
+    /// Precondition: the settings have a peerAddress.
+    std::uint16_t peerPort() const;
 
     /// Begins the planned stop: not ready, no new jobs, and each answer ends its connection.
     void drain();
--- a/src/rattandock/adapters/detail/peer_link.cpp
+++ b/src/rattandock/adapters/detail/peer_link.cpp
@@ -90,6 +90,7 @@
             {nullptr, [this](bool accepted) { onReply(accepted); }},
             [this] { return nextMessage(); }};
     m_connection = &connection;
+    m_unanswered = 0;
     m_onConnected();
     const PeerConnection::End end = connection.run();
     m_connection = nullptr;
@@ -98,6 +99,7 @@
 
 void PeerLink::onReply(bool accepted)
 {
+    --m_unanswered;
     if (!accepted) {
         m_connection->close(PeerConnection::End::Refused);
         return;
@@ -131,6 +133,7 @@
     std::string message = std::move(m_queue.front());
     m_queue.pop_front();
     m_queuedBytes -= message.size();
+    ++m_unanswered;
     return message;
 }
 
--- a/src/rattandock/adapters/detail/peer_link.hpp
+++ b/src/rattandock/adapters/detail/peer_link.hpp
@@ -27,6 +27,8 @@
     /// a connection.
     void send(const core::PeerMessage &message);
 
+    /// True if no message waits to be sent or for its reply.
+    bool isSettled() const { return !m_isUp || (m_queue.empty() && m_unanswered == 0); }
     bool isConnected() const { return m_connection != nullptr; }
     const VmId &vm() const { return m_peer.vm; }
 
@@ -50,6 +52,7 @@
     PeerConnection *m_connection = nullptr;
     std::deque<std::string> m_queue;
     std::size_t m_queuedBytes = 0;
+    std::size_t m_unanswered = 0;
     bool m_isUp = false;
     bool m_stopping = false;
 };
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -1,7 +1,9 @@
 #include "rattandock/adapters/peer_streams.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
+#include <boost/fiber/operations.hpp>
 #include <future>
 #include <list>
 #include <set>
@@ -76,6 +78,7 @@
     bool refuse(std::string_view reason);
     void tick(std::size_t thread);
     void requestHeartbeat(std::size_t thread, const PeerLink *only);
+    void settle(std::size_t thread);
     void closeAll(std::size_t thread);
 };
 
@@ -204,6 +207,16 @@
     });
 }
 
+void PeerStreams::State::settle(std::size_t thread)
+{
+    const auto limit = std::chrono::steady_clock::now() + options.settleLimit;
+    const auto isSettled = [](const auto &link) { return link->isSettled(); };
+    while (!std::ranges::all_of(perThread[thread]->links, isSettled)
+           && std::chrono::steady_clock::now() < limit) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds{1});
+    }
+}
+
 void PeerStreams::State::closeAll(std::size_t thread)
 {
     PerThread &here = *perThread[thread];
@@ -304,15 +317,19 @@
 
 void PeerStreams::stop()
 {
+    const auto onEachThread = [this](auto function) {
+        for (std::size_t n = 0; n < m_state->threads.count(); ++n) {
+            std::promise<void> done;
+            m_state->threads.spawn(n, [&function, n, &done] {
+                function(n);
+                done.set_value();
+            });
+            done.get_future().wait();
+        }
+    };
+    onEachThread([this](std::size_t n) { m_state->settle(n); });
     m_state->stopping = true;
-    for (std::size_t n = 0; n < m_state->threads.count(); ++n) {
-        std::promise<void> closed;
-        m_state->threads.spawn(n, [state = m_state, n, &closed] {
-            state->closeAll(n);
-            closed.set_value();
-        });
-        closed.get_future().wait();
-    }
+    onEachThread([this](std::size_t n) { m_state->closeAll(n); });
     while (m_state->fibers > 0) {
         std::this_thread::sleep_for(std::chrono::milliseconds{1});
     }
--- a/src/rattandock/adapters/peer_streams_test.cpp
+++ b/src/rattandock/adapters/peer_streams_test.cpp
@@ -220,6 +220,19 @@
     BOOST_TEST(b.events.versions() == versions);
 }
 
+// Guards against a stop that drops the last messages, which are those of a handover.
+BOOST_AUTO_TEST_CASE(stopSendsWhatIsQueued)
+{
+    auto a = std::make_unique<Node>(optionsOf("a"));
+    Node b{optionsOf("b")};
+    connectBoth(*a, b);
+    for (std::uint64_t n = 0; n < 3; ++n) {
+        a->sendVersion("b", n, 3U << 20U);
+    }
+    a.reset();
+    BOOST_TEST(b.events.versions() == (std::vector<std::uint64_t>{0, 1, 2}));
+}
+
 // Guards against a link that stays down after a restart, or that sends old messages again.
 BOOST_AUTO_TEST_CASE(reconnectsAfterARestartAndSendsNothingTwice)
 {
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -6,6 +6,7 @@
 
 #include "rattandock/adapters/json_document.hpp"
 #include "rattandock/adapters/json_object_reader.hpp"
+#include "rattandock/adapters/peer_codec.hpp"
 
 namespace rattandock::adapters {
 
@@ -182,6 +183,65 @@
     readInteger(reader, "maxReplyBytes", 1, 64 << 20, options.maxReplyBytes);
 }
 
+PeerAddress readPeer(JsonObjectReader &reader, const Settings &settings)
+{
+    PeerAddress peer;
+    peer.zone = settings.dispatcher.zone;
+    readName(reader, "vm", true, peer.vm);
+    readName(reader, "zone", false, peer.zone);
+    readAddress(reader, "address", peer.address);
+    if (!peer.vm.value().empty() && peer.vm == settings.dispatcher.vm) {
+        reader.report("vm", "is this VM");
+    }
+    return peer;
+}
+
+void readPeers(JsonObjectReader &reader, Settings &settings)
+{
+    if (reader.text("peerAddress", 1, 64)) {
+        readAddress(reader, "peerAddress", settings.peerAddress.emplace());
+    }
+    auto bytes = static_cast<std::int64_t>(settings.peerStreams.sendQueue.value());
+    readInteger(reader, "peerSendQueueBytes", maxPeerMessageBytes, 1LL << 32U, bytes);
+    settings.peerStreams.sendQueue = Bytes{static_cast<std::uint64_t>(bytes)};
+    reader.objects("peers", 0, 10'000, [&](JsonObjectReader &item) {
+        settings.peers.push_back(readPeer(item, settings));
+    });
+    if (!settings.peers.empty() && !settings.peerAddress) {
+        reader.report("peers", "needs peerAddress");
+    }
+}
+
+void reportDoubledPeers(const Settings &settings, Findings &findings)
+{
+    std::set<VmId> vms;
+    std::set<asio::ip::tcp::endpoint> addresses;
+    for (std::size_t n = 0; n < settings.peers.size(); ++n) {
+        const std::string place = "$.peers[" + std::to_string(n) + ']';
+        if (!vms.insert(settings.peers[n].vm).second) {
+            findings.add(place + ".vm", "stands twice");
+        }
+        if (!addresses.insert(settings.peers[n].address).second) {
+            findings.add(place + ".address", "stands twice");
+        }
+    }
+}
+
+/// Without TLS anyone who reaches the listener could speak as a peer.
+void reportOpenPeerAddresses(const Settings &settings, Findings &findings)
+{
+    constexpr auto message = "must be a loopback address without TLS between daemons";
+    if (settings.peerAddress && !settings.peerAddress->address().is_loopback()) {
+        findings.add("$.peerAddress", message);
+    }
+    for (std::size_t n = 0; n < settings.peers.size(); ++n) {
+        const auto &address = settings.peers[n].address.address();
+        if (!address.is_unspecified() && !address.is_loopback()) {
+            findings.add("$.peers[" + std::to_string(n) + "].address", message);
+        }
+    }
+}
+
 void readSettings(JsonObjectReader &reader, Settings &settings)
 {
     readName(reader, "vm", true, settings.dispatcher.vm);
@@ -199,6 +259,7 @@
     });
     reader.objects("teams", 0, 100'000,
                    [&](JsonObjectReader &item) { settings.teams.push_back(readTeam(item)); });
+    readPeers(reader, settings);
 }
 
 } // namespace
@@ -214,6 +275,8 @@
     JsonObjectReader reader{document.value(), "$", findings};
     readSettings(reader, settings);
     reader.reportUnknownKeys();
+    reportDoubledPeers(settings, findings);
+    reportOpenPeerAddresses(settings, findings);
     reportDoubledIds(settings, findings);
     settings.jobs.maxDeadline = settings.dispatcher.recordGrace;
     if (findings.empty()) {
@@ -237,6 +300,7 @@
     };
     add("", [&](JsonObjectReader &reader) { readSettings(reader, settings); });
     add("upstreams[].", [](JsonObjectReader &reader) { readUpstream(reader, {}); });
+    add("peers[].", [](JsonObjectReader &reader) { readPeer(reader, {}); });
     add("teams[].", [](JsonObjectReader &reader) { readTeam(reader); });
     return keys;
 }
--- a/src/rattandock/adapters/settings_test.cpp
+++ b/src/rattandock/adapters/settings_test.cpp
@@ -26,6 +26,48 @@
                   "a.json: $.ioThread: is not a known key\n");
 }
 
+// Guards against peers that name this VM, each other or an address that anyone can reach.
+BOOST_AUTO_TEST_CASE(reportsFaultsOfPeers)
+{
+    const auto settings = parseSettings(R"({
+        "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
+        "peers": [{"vm": "a", "address": "127.0.0.1:8000"},
+                  {"vm": "b", "address": "10.0.0.1:8000"},
+                  {"vm": "b", "address": "127.0.0.1:8000"}, {"vm": "c"}],
+    })",
+                                        "a.json");
+    BOOST_REQUIRE(!settings);
+    BOOST_TEST(describe(settings.error())
+               == "a.json: $.peers[0].vm: is this VM\n"
+                  "a.json: $.peers[3].address: is missing\n"
+                  "a.json: $.peers: needs peerAddress\n"
+                  "a.json: $.peers[2].vm: stands twice\n"
+                  "a.json: $.peers[2].address: stands twice\n"
+                  "a.json: $.peers[1].address: must be a loopback address without TLS between "
+                  "daemons\n");
+}
+
+// Guards against settings of peers that are read into the wrong place.
+BOOST_AUTO_TEST_CASE(readsPeers)
+{
+    const auto settings = parseSettings(R"({
+        "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
+        "peerAddress": "127.0.0.1:8001", "peerSendQueueBytes": 5000000,
+        "peers": [{"vm": "b", "zone": "z2", "address": "127.0.0.1:8002"},
+                  {"vm": "c", "address": "127.0.0.1:8003"}],
+    })",
+                                        "a.json");
+    BOOST_REQUIRE(settings);
+    const Settings &it = settings.value();
+    BOOST_TEST(it.peerAddress.value().port() == 8001);
+    BOOST_TEST(it.peerStreams.sendQueue == Bytes{5'000'000});
+    BOOST_REQUIRE(it.peers.size() == 2U);
+    BOOST_TEST(it.peers[0].vm == VmId{"b"});
+    BOOST_TEST(it.peers[0].zone == ZoneId{"z2"});
+    BOOST_TEST(it.peers[0].address.port() == 8002);
+    BOOST_TEST(it.peers[1].zone == ZoneId{"z1"});
+}
+
 // Guards against a syntax error without the line to look at.
 BOOST_AUTO_TEST_CASE(namesTheLineOfASyntaxError)
 {
--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "rattandock/adapters/log.hpp"
+#include "rattandock/adapters/peer_streams.hpp"
 #include "rattandock/adapters/system_clock.hpp"
 #include "rattandock/app/answer_board.hpp"
 #include "rattandock/app/caller_api.hpp"
@@ -24,7 +25,7 @@
 
 constexpr TimePoint notDraining = TimePoint::min();
 
-/// Stands in until peer streams are built.
+/// For a daemon without peerAddress.
 class NoPeers final : public ports::PeerPort
 {
 public:
@@ -46,6 +47,21 @@
     return settings;
 }
 
+core::Heartbeat heartbeatOf(const core::DispatcherStatus &status,
+                            const core::DispatcherOptions &own, TimePoint now)
+{
+    core::Heartbeat heartbeat;
+    heartbeat.vm = own.vm;
+    heartbeat.incarnation = own.incarnation;
+    heartbeat.zone = own.zone;
+    heartbeat.monotonicTime = now.time_since_epoch().count();
+    heartbeat.configuration = status.configuration;
+    heartbeat.queuedTasks = static_cast<std::uint32_t>(status.queuedTasks);
+    heartbeat.runningTasks = static_cast<std::uint32_t>(status.runningTasks);
+    heartbeat.draining = status.draining;
+    return heartbeat;
+}
+
 adapters::UpstreamClient::Addresses addressesOf(const adapters::Settings &settings)
 {
     adapters::UpstreamClient::Addresses addresses;
@@ -93,6 +109,8 @@
         return server == nullptr ? 0 : server->connections();
     }
     void drain();
+    /// Binds the peer listener and opens the links, if the settings have them.
+    void startPeers(Findings &findings);
 
     adapters::Settings settings;
     adapters::SystemClock clock;
@@ -103,7 +121,8 @@
     AnswerBoard answers;
     EventHistory history;
     adapters::UpstreamClient upstreams;
-    NoPeers peers;
+    NoPeers noPeers;
+    std::unique_ptr<adapters::PeerStreams> peers;
     CallerApi callerApi;
     OperatorApi operatorApi;
     std::unique_ptr<HttpServer> callerServer;
@@ -114,17 +133,44 @@
     bool isStopped = false;
 };
 
+void Daemon::Parts::startPeers(Findings &findings)
+{
+    if (!settings.peerAddress) {
+        return;
+    }
+    adapters::PeerStreamsOptions options = settings.peerStreams;
+    options.vm = settings.dispatcher.vm;
+    options.incarnation = settings.dispatcher.incarnation;
+    options.seed = randomValue<std::uint64_t>();
+    // Asked of the decision thread, so that a daemon whose decisions hang sends no heartbeat.
+    const auto heartbeats = [this](const auto &give) {
+        loop.ask([this, give](const core::Dispatcher &dispatcher, TimePoint now) {
+            give(heartbeatOf(dispatcher.status(), settings.dispatcher, now));
+        });
+    };
+    auto listening = adapters::PeerStreams::listen(threads, *settings.peerAddress, options, loop,
+                                                   metrics, heartbeats);
+    if (!listening) {
+        findings.add("peerAddress", listening.error().message());
+        return;
+    }
+    peers = std::move(listening.value());
+    peers->connect(settings.peers);
+}
+
 Checked<std::unique_ptr<Daemon>> Daemon::start(const adapters::Settings &settings)
 {
     auto parts = std::make_unique<Parts>(settings);
     Parts &it = *parts;
-    it.loop.start({it.upstreams, it.answers, it.peers, it.history});
+    Findings findings;
+    it.startPeers(findings);
+    ports::PeerPort &peerPort = it.peers ? static_cast<ports::PeerPort &>(*it.peers) : it.noPeers;
+    it.loop.start({it.upstreams, it.answers, peerPort, it.history});
     it.loop.post(configurationOf(it.settings));
     it.loop.waitForPosted();
     const auto badRequest = [&it](std::string_view reason) {
         it.metrics.count("bad_requests", reason);
     };
-    Findings findings;
     // The routes use both servers, so each is in its place before a request can need it.
     const auto listen = [&](const char *key, const auto &address, auto handler, auto &into) {
         auto server = HttpServer::listen(it.threads, address, settings.http, handler, badRequest);
@@ -175,6 +221,11 @@
     return m_parts->operatorServer->port();
 }
 
+std::uint16_t Daemon::peerPort() const
+{
+    return m_parts->peers->port();
+}
+
 void Daemon::Parts::drain()
 {
     TimePoint expected = notDraining;
@@ -216,6 +267,9 @@
         }
     }
     m_parts->upstreams.shutDown();
+    if (m_parts->peers) {
+        m_parts->peers->stop();
+    }
     m_parts->loop.stop();
     m_parts->threads.stop();
 }
