Secure the links between daemons by mutual TLS

Anyone who reached a peer listener could speak as a peer. With the setting peerTls, both sides need a certificate of the authority that names their VM: the client checks it against the peer's name, the server against the sender of the messages. Without peerTls only loopback addresses are accepted.

--- a/include/rattandock/adapters/json_object_reader.hpp
+++ b/include/rattandock/adapters/json_object_reader.hpp
@@ -35,6 +35,10 @@
     bool objects(std::string_view key, std::size_t minSize, std::size_t maxSize,
                  const std::function<void(JsonObjectReader &item)> &read);
 
+    /// Calls the function with a reader for the object.
+    /// False if the key is absent or its value is a finding.
+    bool child(std::string_view key, const std::function<void(JsonObjectReader &item)> &read);
+
     /// Adds a finding if the key is absent.
     void require(std::string_view key);
     /// Adds a finding for the value of a key.
--- a/include/rattandock/adapters/peer_streams.hpp
+++ b/include/rattandock/adapters/peer_streams.hpp
@@ -7,6 +7,7 @@
 
 #include "rattandock/adapters/io_threads.hpp"
 #include "rattandock/adapters/metrics.hpp"
+#include "rattandock/adapters/peer_tls.hpp"
 #include "rattandock/base/result.hpp"
 #include "rattandock/base/units.hpp"
 #include "rattandock/ports/action_ports.hpp"
@@ -39,6 +40,8 @@
     /// stop() waits this long for the replies to what was sent; a planned stop ends with a
     /// handover.
     Duration settleLimit = std::chrono::seconds{1};
+    /// Null for no TLS.
+    PeerTls tls;
     /// Seed of the jitter.
     std::uint64_t seed = 0;
 };
@@ -75,6 +78,10 @@
 
     void send(core::SendToPeer message) override;
 
+    /// Connections that are made from now on use it; open ones stay.
+    /// Precondition: the options had TLS. Thread safety: may be called from any thread.
+    void replaceTls(PeerTls tls);
+
     /// The bound port, also when port 0 was asked for.
     std::uint16_t port() const;
 
--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -32,6 +32,8 @@
     /// Own listener for peers; a daemon without it has none.
     std::optional<boost::asio::ip::tcp::endpoint> peerAddress;
     std::vector<PeerAddress> peers;
+    /// Required unless all peer addresses are loopback addresses.
+    std::optional<PeerTlsFiles> peerTls;
     /// The VM and the incarnation are those of `dispatcher`.
     PeerStreamsOptions peerStreams;
     std::size_t ioThreads = 2;
--- a/include/rattandock/app/daemon.hpp
+++ b/include/rattandock/app/daemon.hpp
@@ -24,6 +24,10 @@
     /// Precondition: the settings have a peerAddress.
     std::uint16_t peerPort() const;
 
+    /// Reads the files of peerTls again, for new connections. The old certificates stay in force if
+    /// there is a finding. Precondition: the settings have peerTls.
+    Findings reloadPeerTls();
+
     /// Begins the planned stop: not ready, no new jobs, and each answer ends its connection.
     void drain();
     /// True once the planned stop is done or its limit has passed.
--- a/src/rattandock/adapters/detail/peer_connection.cpp
+++ b/src/rattandock/adapters/detail/peer_connection.cpp
@@ -1,7 +1,6 @@
 #include "peer_connection.hpp"
 
 #include <array>
-#include <boost/asio/write.hpp>
 #include <vector>
 
 #include "rattandock/adapters/io_threads.hpp"
@@ -40,24 +39,28 @@
 
 std::string_view name(PeerConnection::End end)
 {
-    static constexpr std::array<std::string_view, 6> names{
-            "closed", "silent", "protocol-violation", "too-large", "refused", "queue-full"};
+    static constexpr std::array<std::string_view, 8> names{
+            "closed",  "silent",     "protocol-violation", "too-large",
+            "refused", "queue-full", "tls-failed",         "wrong-certificate"};
     return names.at(static_cast<std::size_t>(end));
 }
 
-PeerConnection::PeerConnection(beast::tcp_stream stream, Options options,
-                               Http2Session::Handlers handlers, Source source)
-    : m_stream(std::move(stream))
-    , m_options(options)
+PeerConnection::PeerConnection(PeerSocket socket, Options options, Http2Session::Handlers handlers,
+                               Source source)
+    : m_socket(std::move(socket))
+    , m_options(std::move(options))
     , m_source(std::move(source))
-    , m_session(options.side, std::move(handlers), options.maxMessageBytes)
+    , m_session(m_options.side, std::move(handlers), m_options.maxMessageBytes)
 {
 }
 
 PeerConnection::End PeerConnection::run()
 {
     boost::system::error_code ec;
-    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    m_socket.tcp().socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    if (!shakeHands()) {
+        return *m_end;
+    }
     spawnFiber([this] { writeAll(); });
     readAll();
     std::unique_lock lock{m_mutex};
@@ -76,18 +79,29 @@
 {
     if (!m_end) {
         m_end = end;
-        m_stream.close();
+        m_socket.close();
     }
     wake();
 }
 
+bool PeerConnection::shakeHands()
+{
+    const auto role = m_options.side == Http2Session::Side::Client ? PeerSocket::Role::client
+                                                                   : PeerSocket::Role::server;
+    const IoEnd end = m_socket.shakeHands(role, m_options.handshakeLimit);
+    if (end.ec) {
+        close(End::TlsFailed);
+    } else if (!m_options.expectedVm.value().empty() && !isFrom(m_options.expectedVm)) {
+        close(End::WrongCertificate);
+    }
+    return !m_end;
+}
+
 void PeerConnection::readAll()
 {
     std::vector<char> buf(readBytes);
     while (!m_end) {
-        m_stream.expires_after(m_options.silenceLimit);
-        const IoEnd read =
-                awaitIo([&](auto handle) { m_stream.async_read_some(asio::buffer(buf), handle); });
+        const IoEnd read = m_socket.readSome(asio::buffer(buf), m_options.silenceLimit);
         if (read.ec) {
             close(endFor(read.ec));
             return;
@@ -116,9 +130,7 @@
             m_changed.wait(lock, [this] { return m_wanted; });
             continue;
         }
-        m_stream.expires_after(m_options.silenceLimit);
-        const IoEnd written = awaitIo(
-                [&](auto handle) { asio::async_write(m_stream, asio::buffer(out), handle); });
+        const IoEnd written = m_socket.write(asio::buffer(out), m_options.silenceLimit);
         if (written.ec) {
             close(endFor(written.ec));
         }
--- a/src/rattandock/adapters/detail/peer_connection.hpp
+++ b/src/rattandock/adapters/detail/peer_connection.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <functional>
@@ -8,6 +7,7 @@
 #include <string>
 
 #include "http2_session.hpp"
+#include "peer_socket.hpp"
 #include "rattandock/base/time.hpp"
 
 namespace rattandock::adapters::detail {
@@ -24,6 +24,10 @@
         MessageTooLarge,
         Refused,
         QueueFull,
+        /// The TLS handshake failed; also a certificate that is not of the authority.
+        TlsFailed,
+        /// The certificate names another VM.
+        WrongCertificate,
     };
 
     struct Options
@@ -32,31 +36,38 @@
         /// The connection ends if nothing can be read or written for this long.
         Duration silenceLimit{};
         std::size_t maxMessageBytes = 0;
+        Duration handshakeLimit{};
+        /// The VM that the certificate must name; empty if it is not known yet.
+        VmId expectedVm;
     };
     /// Gives the next message to send, or nothing.
     using Source = std::function<std::optional<std::string>()>;
 
-    PeerConnection(boost::beast::tcp_stream stream, Options options,
-                   Http2Session::Handlers handlers, Source source);
+    PeerConnection(PeerSocket socket, Options options, Http2Session::Handlers handlers,
+                   Source source);
     PeerConnection(const PeerConnection &) = delete;
     PeerConnection &operator=(const PeerConnection &) = delete;
     ~PeerConnection() = default;
 
-    /// Returns when the connection has ended and its writing fiber too.
+    /// Makes the TLS handshake first. Returns when the connection has ended and its writing fiber
+    /// too.
     End run();
     /// The source has a message.
     void wake();
     /// Makes run() return with that end, unless it has another already.
     void close(End end);
+    /// True without TLS, or if the certificate names the VM.
+    bool isFrom(const VmId &vm) { return m_socket.isFrom(vm); }
     bool isClosing() const { return m_end.has_value(); }
 
 private:
+    bool shakeHands();
     void readAll();
     void writeAll();
     /// False if the session failed.
     bool collectOutput(std::string &out);
 
-    boost::beast::tcp_stream m_stream;
+    PeerSocket m_socket;
     const Options m_options;
     const Source m_source;
     Http2Session m_session;
--- a/src/rattandock/adapters/detail/peer_link.cpp
+++ b/src/rattandock/adapters/detail/peer_link.cpp
@@ -11,13 +11,15 @@
 namespace asio = boost::asio;
 
 PeerLink::PeerLink(asio::io_context &io, PeerAddress peer, const PeerStreamsOptions &options,
-                   ports::EventSink &events, Metrics &metrics, std::function<void()> onConnected)
+                   ports::EventSink &events, Metrics &metrics, std::function<void()> onConnected,
+                   std::function<PeerTls()> tls)
     : m_io(io)
     , m_peer(std::move(peer))
     , m_options(options)
     , m_events(events)
     , m_metrics(metrics)
     , m_onConnected(std::move(onConnected))
+    , m_tls(std::move(tls))
     , m_pause(io)
     , m_random(options.seed ^ std::hash<VmId>{}(m_peer.vm))
     , m_nextPause(options.firstPause)
@@ -84,11 +86,11 @@
         m_metrics.count("peer_links_closed", "connect-failed");
         return;
     }
-    PeerConnection connection{
-            std::move(stream),
-            {Http2Session::Side::Client, m_options.silenceLimit, maxPeerMessageBytes},
-            {nullptr, [this](bool accepted) { onReply(accepted); }},
-            [this] { return nextMessage(); }};
+    PeerConnection connection{PeerSocket{std::move(stream), m_tls()},
+                              {Http2Session::Side::Client, m_options.silenceLimit,
+                               maxPeerMessageBytes, m_options.connectTimeout, m_peer.vm},
+                              {nullptr, [this](bool accepted) { onReply(accepted); }},
+                              [this] { return nextMessage(); }};
     m_connection = &connection;
     m_unanswered = 0;
     m_onConnected();
--- a/src/rattandock/adapters/detail/peer_link.hpp
+++ b/src/rattandock/adapters/detail/peer_link.hpp
@@ -17,7 +17,8 @@
     /// `onConnected` asks for a heartbeat to send at once; only the reply to a message tells that
     /// the peer accepts this VM.
     PeerLink(boost::asio::io_context &io, PeerAddress peer, const PeerStreamsOptions &options,
-             ports::EventSink &events, Metrics &metrics, std::function<void()> onConnected);
+             ports::EventSink &events, Metrics &metrics, std::function<void()> onConnected,
+             std::function<PeerTls()> tls);
 
     /// Connects, runs the connection and connects again; returns after stop().
     void run();
@@ -45,6 +46,7 @@
     ports::EventSink &m_events;
     Metrics &m_metrics;
     const std::function<void()> m_onConnected;
+    const std::function<PeerTls()> m_tls;
     boost::asio::steady_timer m_pause;
     std::mt19937_64 m_random;
     Duration m_nextPause;
--- a/src/rattandock/adapters/json_object_reader.cpp
+++ b/src/rattandock/adapters/json_object_reader.cpp
@@ -142,6 +142,19 @@
     return true;
 }
 
+bool JsonObjectReader::child(std::string_view key,
+                             const std::function<void(JsonObjectReader &item)> &read)
+{
+    const auto *const found = object(key);
+    if (found == nullptr) {
+        return false;
+    }
+    JsonObjectReader item{*found, pathOf(key), m_findings};
+    read(item);
+    item.reportUnknownKeys();
+    return true;
+}
+
 void JsonObjectReader::require(std::string_view key)
 {
     if (!m_object.contains(key)) {
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 #include <future>
 #include <list>
+#include <mutex>
 #include <set>
 #include <unordered_map>
 
@@ -51,6 +52,7 @@
         , events(sink)
         , metrics(counters)
         , heartbeats(std::move(source))
+        , tls(options.tls)
         , acceptor(owner.io(0))
     {
         for (std::size_t n = 0; n < threads.count(); ++n) {
@@ -63,6 +65,8 @@
     ports::EventSink &events;
     Metrics &metrics;
     const HeartbeatSource heartbeats;
+    std::mutex tlsMutex;
+    PeerTls tls;
     tcp::acceptor acceptor;
     std::vector<std::unique_ptr<PerThread>> perThread;
     std::unordered_map<VmId, Place> places;
@@ -70,11 +74,16 @@
     std::atomic<std::size_t> connections = 0;
     std::atomic<bool> stopping = false;
 
+    PeerTls currentTls()
+    {
+        const std::lock_guard lock{tlsMutex};
+        return tls;
+    }
     /// Runs the function as a fiber that stop() waits for.
     void spawnCounted(std::size_t thread, std::function<void()> function);
     void acceptLoop();
     void serve(std::size_t thread, tcp::socket socket);
-    bool receive(std::size_t thread, VmId &sender, std::string_view bytes);
+    bool receive(std::size_t thread, PeerConnection &from, VmId &sender, std::string_view bytes);
     bool refuse(std::string_view reason);
     void tick(std::size_t thread);
     void requestHeartbeat(std::size_t thread, const PeerLink *only);
@@ -131,11 +140,15 @@
         return;
     }
     VmId sender;
+    PeerConnection *self = nullptr;
     PeerConnection connection{
-            boost::beast::tcp_stream{std::move(socket)},
-            {Http2Session::Side::Server, options.silenceLimit, maxPeerMessageBytes},
-            {[&](const std::string &bytes) { return receive(thread, sender, bytes); }, nullptr},
+            detail::PeerSocket{boost::beast::tcp_stream{std::move(socket)}, currentTls()},
+            {Http2Session::Side::Server, options.silenceLimit, maxPeerMessageBytes,
+             options.connectTimeout, VmId{}},
+            {[&](const std::string &bytes) { return receive(thread, *self, sender, bytes); },
+             nullptr},
             nullptr};
+    self = &connection;
     auto &incoming = perThread[thread]->incoming;
     const auto place = incoming.insert(incoming.end(), &connection);
     const PeerConnection::End end = connection.run();
@@ -146,7 +159,8 @@
     }
 }
 
-bool PeerStreams::State::receive(std::size_t thread, VmId &sender, std::string_view bytes)
+bool PeerStreams::State::receive(std::size_t thread, PeerConnection &from, VmId &sender,
+                                 std::string_view bytes)
 {
     auto decoded = decodePeerMessage(bytes);
     if (!decoded) {
@@ -156,6 +170,9 @@
     if (!perThread[thread]->knownVms.contains(envelope.sender)) {
         return refuse("unknown-vm");
     }
+    if (sender.value().empty() && !from.isFrom(envelope.sender)) {
+        return refuse("wrong-certificate");
+    }
     if (sender.value().empty()) {
         sender = envelope.sender;
     } else if (sender != envelope.sender) {
@@ -276,7 +293,8 @@
                 state->threads.io(thread), peers[n], state->options, state->events, state->metrics,
                 [state, thread, index] {
                     state->requestHeartbeat(thread, state->perThread[thread]->links[index].get());
-                }));
+                },
+                [state] { return state->currentTls(); }));
         state->places[peers[n].vm] = {thread, links.back().get()};
     }
     for (std::size_t n = 0; n < state->threads.count(); ++n) {
@@ -310,6 +328,12 @@
                });
 }
 
+void PeerStreams::replaceTls(PeerTls tls)
+{
+    const std::lock_guard lock{m_state->tlsMutex};
+    m_state->tls = std::move(tls);
+}
+
 std::uint16_t PeerStreams::port() const
 {
     return m_state->acceptor.local_endpoint().port();
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t maxNameBytes = 64;
+constexpr std::size_t maxFileNameBytes = 4096;
 constexpr std::int64_t maxHourMs = 3'600'000;
 
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
@@ -196,11 +197,26 @@
     return peer;
 }
 
+PeerTlsFiles readPeerTls(JsonObjectReader &reader)
+{
+    PeerTlsFiles files;
+    const auto read = [&reader](std::string_view key, std::string &into) {
+        reader.require(key);
+        into = reader.text(key, 1, maxFileNameBytes).value_or("");
+    };
+    read("certificate", files.certificate);
+    read("key", files.key);
+    read("authority", files.authority);
+    return files;
+}
+
 void readPeers(JsonObjectReader &reader, Settings &settings)
 {
     if (reader.text("peerAddress", 1, 64)) {
         readAddress(reader, "peerAddress", settings.peerAddress.emplace());
     }
+    reader.child("peerTls",
+                 [&](JsonObjectReader &tls) { settings.peerTls = readPeerTls(tls); });
     auto bytes = static_cast<std::int64_t>(settings.peerStreams.sendQueue.value());
     readInteger(reader, "peerSendQueueBytes", maxPeerMessageBytes, 1LL << 32U, bytes);
     settings.peerStreams.sendQueue = Bytes{static_cast<std::uint64_t>(bytes)};
@@ -230,7 +246,10 @@
 /// Without TLS anyone who reaches the listener could speak as a peer.
 void reportOpenPeerAddresses(const Settings &settings, Findings &findings)
 {
-    constexpr auto message = "must be a loopback address without TLS between daemons";
+    if (settings.peerTls) {
+        return;
+    }
+    constexpr auto message = "must be a loopback address without peerTls";
     if (settings.peerAddress && !settings.peerAddress->address().is_loopback()) {
         findings.add("$.peerAddress", message);
     }
@@ -301,6 +320,7 @@
     add("", [&](JsonObjectReader &reader) { readSettings(reader, settings); });
     add("upstreams[].", [](JsonObjectReader &reader) { readUpstream(reader, {}); });
     add("peers[].", [](JsonObjectReader &reader) { readPeer(reader, {}); });
+    add("peerTls.", [](JsonObjectReader &reader) { readPeerTls(reader); });
     add("teams[].", [](JsonObjectReader &reader) { readTeam(reader); });
     return keys;
 }
--- a/src/rattandock/adapters/settings_test.cpp
+++ b/src/rattandock/adapters/settings_test.cpp
@@ -43,8 +43,7 @@
                   "a.json: $.peers: needs peerAddress\n"
                   "a.json: $.peers[2].vm: stands twice\n"
                   "a.json: $.peers[2].address: stands twice\n"
-                  "a.json: $.peers[1].address: must be a loopback address without TLS between "
-                  "daemons\n");
+                  "a.json: $.peers[1].address: must be a loopback address without peerTls\n");
 }
 
 // Guards against settings of peers that are read into the wrong place.
--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -142,6 +142,14 @@
     options.vm = settings.dispatcher.vm;
     options.incarnation = settings.dispatcher.incarnation;
     options.seed = randomValue<std::uint64_t>();
+    if (settings.peerTls) {
+        auto tls = adapters::loadPeerTls(*settings.peerTls);
+        if (!tls) {
+            findings = tls.error();
+            return;
+        }
+        options.tls = std::move(tls.value());
+    }
     // Asked of the decision thread, so that a daemon whose decisions hang sends no heartbeat.
     const auto heartbeats = [this](const auto &give) {
         loop.ask([this, give](const core::Dispatcher &dispatcher, TimePoint now) {
@@ -226,6 +234,18 @@
     return m_parts->peers->port();
 }
 
+Findings Daemon::reloadPeerTls()
+{
+    auto tls = adapters::loadPeerTls(*m_parts->settings.peerTls);
+    if (!tls) {
+        log(LogLevel::Error, LogPart::Peer, describe(tls.error()));
+        return tls.error();
+    }
+    m_parts->peers->replaceTls(std::move(tls.value()));
+    log(LogLevel::Info, LogPart::Peer, "certificates were read again");
+    return {};
+}
+
 void Daemon::Parts::drain()
 {
     TimePoint expected = notDraining;
