--- a/src/rattandock/adapters/settings_test.cpp
+++ b/src/rattandock/adapters/settings_test.cpp
@@ -67,6 +67,28 @@
     BOOST_TEST(it.peers[1].zone == ZoneId{"z1"});
 }
 
+// Guards against peers on open addresses that are refused with TLS, or TLS without its files.
+BOOST_AUTO_TEST_CASE(readsPeerTls)
+{
+    const std::string head = R"({
+        "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
+        "peerAddress": "10.0.0.1:8001", "peers": [{"vm": "b", "address": "10.0.0.2:8001"}],
+        "peerTls": )";
+    const auto settings = parseSettings(
+            head + R"({"certificate": "a.pem", "key": "a.key", "authority": "ca.pem"}})", "a.json");
+    BOOST_REQUIRE(settings);
+    const auto &files = settings.value().peerTls.value();
+    BOOST_TEST(files.certificate == "a.pem");
+    BOOST_TEST(files.key == "a.key");
+    BOOST_TEST(files.authority == "ca.pem");
+    const auto partial = parseSettings(head + R"({"certificate": "a.pem", "keys": ""}})", "a.json");
+    BOOST_REQUIRE(!partial);
+    BOOST_TEST(describe(partial.error())
+               == "a.json: $.peerTls.key: is missing\n"
+                  "a.json: $.peerTls.authority: is missing\n"
+                  "a.json: $.peerTls.keys: is not a known key\n");
+}
+
 // Guards against a syntax error without the line to look at.
 BOOST_AUTO_TEST_CASE(namesTheLineOfASyntaxError)
 {
--- a/src/rattandockd/main.cpp
+++ b/src/rattandockd/main.cpp
@@ -22,16 +22,23 @@
     return options;
 }
 
-int serve(const adapters::Settings &settings, const sigset_t &stopSignals)
+int serve(const adapters::Settings &settings, const sigset_t &awaitedSignals)
 {
     auto daemon = app::Daemon::start(settings);
     if (!daemon) {
         std::cerr << describe(daemon.error());
         return app::exitFailed;
     }
-    // Ends on a signal or when an operator's drain is done.
+    // Ends on a stop signal or when an operator's drain is done.
     constexpr timespec pollTime{0, 100'000'000};
-    while (sigtimedwait(&stopSignals, nullptr, &pollTime) < 0 && !daemon.value()->isDrained()) { }
+    while (!daemon.value()->isDrained()) {
+        const int signal = sigtimedwait(&awaitedSignals, nullptr, &pollTime);
+        if (signal == SIGHUP && settings.peerTls) {
+            daemon.value()->reloadPeerTls();
+        } else if (signal == SIGTERM || signal == SIGINT) {
+            break;
+        }
+    }
     daemon.value()->drain();
     while (!daemon.value()->isDrained()) {
         std::this_thread::sleep_for(std::chrono::milliseconds{10});
@@ -68,14 +75,15 @@
         return app::exitOk;
     }
     // Blocked before any thread starts, so that only sigwait() takes them.
-    sigset_t stopSignals;
-    sigemptyset(&stopSignals);
-    sigaddset(&stopSignals, SIGTERM);
-    sigaddset(&stopSignals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
+    sigset_t awaitedSignals;
+    sigemptyset(&awaitedSignals);
+    sigaddset(&awaitedSignals, SIGTERM);
+    sigaddset(&awaitedSignals, SIGINT);
+    sigaddset(&awaitedSignals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &awaitedSignals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     adapters::setUpLog(settings.value().logLevel);
-    return serve(settings.value(), stopSignals);
+    return serve(settings.value(), awaitedSignals);
 }
 
 } // namespace
