--- a/src/rattandock/adapters/platform_client_test.cpp
+++ b/src/rattandock/adapters/platform_client_test.cpp
@@ -53,6 +53,7 @@
     std::atomic<bool> ended = false;
     std::atomic<int> requests = 0;
     std::atomic<int> applied = 0;
+    std::atomic<int> puts = 0;
 
 private:
     static HttpResponse reply(unsigned status, std::string body)
@@ -102,6 +103,7 @@
         if (request.path.starts_with("/objects/")) {
             std::string &object = m_objects[request.path];
             if (request.method == "PUT") {
+                ++puts;
                 object = request.body;
             }
             return object.empty() ? reply(404, "{}") : reply(200, object);
@@ -345,6 +347,7 @@
     fake.heldReplies = 1;
     valueOf(client([](PlatformClient &it) { return it.putObject("s", "body"); }));
     BOOST_TEST(fake.requests == 2);
+    BOOST_TEST(fake.puts == 1);
     fake.heldReplies = 2;
     options.maxRetries = 0;
     Client impatient{options};
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::size_t maxNameBytes = 64;
-constexpr std::size_t maxFileNameBytes = 4096;
+constexpr std::size_t maxFileNameBytes = 512;
 constexpr std::int64_t maxHourMs = 3'600'000;
 
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
@@ -215,8 +215,7 @@
     if (reader.text("peerAddress", 1, 64)) {
         readAddress(reader, "peerAddress", settings.peerAddress.emplace());
     }
-    reader.child("peerTls",
-                 [&](JsonObjectReader &tls) { settings.peerTls = readPeerTls(tls); });
+    reader.child("peerTls", [&](JsonObjectReader &tls) { settings.peerTls = readPeerTls(tls); });
     auto bytes = static_cast<std::int64_t>(settings.peerStreams.sendQueue.value());
     readInteger(reader, "peerSendQueueBytes", maxPeerMessageBytes, 1LL << 32U, bytes);
     settings.peerStreams.sendQueue = Bytes{static_cast<std::uint64_t>(bytes)};
--- a/src/rattandock/adapters/settings_page_test.cpp
+++ b/src/rattandock/adapters/settings_page_test.cpp
@@ -51,7 +51,8 @@
                 array == "upstreams" && name != "address" ? R"("address":"127.0.0.1:1",)" : "";
         text += '"' + array + "\":[{" + id + address + '"' + name + "\":" + value + "}],";
     } else if (const auto child = key.find('.'); child != std::string::npos) {
-        text += '"' + key.substr(0, child) + "\":{\"" + key.substr(child + 1) + "\":" + value + "},";
+        text += '"' + key.substr(0, child) + "\":{\"" + key.substr(child + 1) + "\":" + value
+                + "},";
     } else if (text.find('"' + key + '"') == std::string::npos) {
         text += '"' + key + "\":" + value + ',';
     }
--- a/src/rattandock/app/daemon_test.cpp
+++ b/src/rattandock/app/daemon_test.cpp
@@ -9,6 +9,20 @@
 
 namespace {
 
+/// Different ports that are free now, so that test programs may run at the same time.
+std::vector<std::uint16_t> freePorts(std::size_t count)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    std::vector<tcp::acceptor> acceptors;
+    std::vector<std::uint16_t> ports;
+    for (std::size_t n = 0; n < count; ++n) {
+        const tcp::endpoint anyPort{boost::asio::ip::make_address("127.0.0.1"), 0};
+        ports.push_back(acceptors.emplace_back(io, anyPort).local_endpoint().port());
+    }
+    return ports;
+}
+
 std::string fetchMetrics(const app::Daemon &daemon)
 {
     boost::asio::ip::tcp::iostream stream;
@@ -44,20 +58,20 @@
 BOOST_AUTO_TEST_CASE(threeDaemonsLinkUp)
 {
     constexpr std::size_t count = 3;
+    const std::vector<std::uint16_t> ports = freePorts(count);
     std::vector<adapters::Settings> all(count);
     for (std::size_t n = 0; n < count; ++n) {
         all[n].dispatcher.vm = VmId{"vm-" + std::to_string(n)};
         all[n].callerAddress = {boost::asio::ip::make_address("127.0.0.1"), 0};
         all[n].operatorAddress = all[n].callerAddress;
-        all[n].peerAddress = {all[n].callerAddress.address(), static_cast<std::uint16_t>(8060 + n)};
+        all[n].peerAddress = {all[n].callerAddress.address(), ports[n]};
         all[n].peerStreams.heartbeatInterval = std::chrono::milliseconds{20};
         all[n].peerStreams.lastPause = std::chrono::milliseconds{50};
         for (std::size_t m = 0; m < count; ++m) {
             if (m != n) {
-                all[n].peers.push_back(
-                        {VmId{"vm-" + std::to_string(m)},
-                         ZoneId{"z1"},
-                         {all[n].callerAddress.address(), static_cast<std::uint16_t>(8060 + m)}});
+                all[n].peers.push_back({VmId{"vm-" + std::to_string(m)},
+                                        ZoneId{"z1"},
+                                        {all[n].callerAddress.address(), ports[m]}});
             }
         }
     }
