--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -114,8 +114,10 @@
 template <Is<core::HandoverRecords> T>
 auto fields(T &it)
 {
-    auto &[sealedVm, sealedIncarnation, records, last] = it;
-    return std::tie(sealedVm, sealedIncarnation, records, last);
+    auto &[sealedVm, sealedIncarnation, sender, coversTokensIssuedAfter, keepFor, heldSets, batch,
+           records, last] = it;
+    return std::tie(sealedVm, sealedIncarnation, sender, coversTokensIssuedAfter, keepFor, heldSets,
+                    batch, records, last);
 }
 
 template <Is<core::HandoverPointer> T>
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -136,12 +136,22 @@
     case 5:
         return core::SlotRelease{slots()};
     case 6:
-        return core::HandoverRecords{VmId{text()}, Incarnation{number()}, listOf([] {
-                                         return core::HandoverRecord{JobId{text()},
-                                                                     core::SpecDigest{number()},
-                                                                     outcomeValue()};
-                                     }),
-                                     below(2) == 1};
+        return core::HandoverRecords{
+                VmId{text()},
+                Incarnation{number()},
+                Incarnation{number()},
+                TimePoint{duration()},
+                duration(),
+                listOf([] { return Incarnation{number()}; }),
+                shortNumber(),
+                listOf([] {
+                    core::HandoverRecord record{JobId{text()}, {}, outcomeValue()};
+                    if (below(2) == 1) {
+                        record.digest = core::SpecDigest{number()};
+                    }
+                    return record;
+                }),
+                below(2) == 1};
     case 7:
         return core::HandoverPointer{Incarnation{number()}, VmId{text()}};
     default:
@@ -186,8 +196,10 @@
 
 bool same(const core::HandoverRecords &a, const core::HandoverRecords &b)
 {
-    const auto &[vm, incarnation, records, last] = a;
-    return vm == b.sealedVm && incarnation == b.sealedIncarnation && last == b.last
+    const auto &[vm, incarnation, sender, issuedAfter, keepFor, heldSets, batch, records, last] = a;
+    return vm == b.sealedVm && incarnation == b.sealedIncarnation && sender == b.sender
+           && issuedAfter == b.coversTokensIssuedAfter && keepFor == b.keepFor
+           && heldSets == b.heldSets && batch == b.batch && last == b.last
            && std::ranges::equal(records, b.records, [](const auto &x, const auto &y) {
                   const auto &[id, digest, outcome] = x;
                   return id == y.id && digest == y.digest && outcome == y.outcome;
