--- /dev/null
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <concepts>
+#include <tuple>
+#include <type_traits>
+
+#include "rattandock/core/peer_message.hpp"
+
+namespace rattandock::adapters::detail {
+
+template <typename T, typename U>
+concept Is = std::same_as<std::remove_const_t<T>, U>;
+
+// The encoded fields of each type in order; reading and writing share them. A structured binding
+// names every field of its type, so a field that is added to a message and not here fails to
+// compile instead of being lost on the way.
+
+template <Is<core::Heartbeat> T>
+auto fields(T &it)
+{
+    auto &[vm, incarnation, zone, monotonicTime, configuration, queuedTasks, runningTasks,
+           draining] = it;
+    return std::tie(vm, incarnation, zone, monotonicTime, configuration, queuedTasks, runningTasks,
+                    draining);
+}
+
+template <Is<core::Resources> T>
+auto fields(T &it)
+{
+    auto &[cores, memory, accelerators] = it;
+    return std::tie(cores, memory, accelerators);
+}
+
+template <Is<core::TaskSpec> T>
+auto fields(T &it)
+{
+    auto &[payload, estimate, needs] = it;
+    return std::tie(payload, estimate, needs);
+}
+
+template <Is<core::JobSpec> T>
+auto fields(T &it)
+{
+    auto &[id, team, deadline, tasks] = it;
+    return std::tie(id, team, deadline, tasks);
+}
+
+template <Is<core::Complete> T>
+auto fields(T &it)
+{
+    auto &[results] = it;
+    return std::tie(results);
+}
+
+template <Is<core::Failed> T>
+auto fields(T &it)
+{
+    auto &[reason, startedTasks] = it;
+    return std::tie(reason, startedTasks);
+}
+
+template <Is<core::NotRun> T>
+auto fields(T &it)
+{
+    auto &[reason, retryAfter] = it;
+    return std::tie(reason, retryAfter);
+}
+
+template <Is<core::Unknown> T>
+auto fields(T &it)
+{
+    auto &[reason] = it;
+    return std::tie(reason);
+}
+
+template <Is<core::ForwardJob> T>
+auto fields(T &it)
+{
+    auto &[forwardNumber, expectedIncarnation, job] = it;
+    return std::tie(forwardNumber, expectedIncarnation, job);
+}
+
+template <Is<core::ForwardedAnswer> T>
+auto fields(T &it)
+{
+    auto &[forwardNumber, outcome] = it;
+    return std::tie(forwardNumber, outcome);
+}
+
+template <Is<core::SlotEntry> T>
+auto fields(T &it)
+{
+    auto &[upstream, count, measuredTime] = it;
+    return std::tie(upstream, count, measuredTime);
+}
+
+template <typename T>
+concept SlotList = Is<T, core::SlotRequest> || Is<T, core::SlotGrant> || Is<T, core::SlotRelease>;
+
+template <SlotList T>
+auto fields(T &it)
+{
+    auto &[entries] = it;
+    return std::tie(entries);
+}
+
+template <Is<core::HandoverRecord> T>
+auto fields(T &it)
+{
+    auto &[id, digest, outcome] = it;
+    return std::tie(id, digest, outcome);
+}
+
+template <Is<core::HandoverRecords> T>
+auto fields(T &it)
+{
+    auto &[sealedVm, sealedIncarnation, sender, coversTokensIssuedAfter, keepFor, heldSets, batch,
+           records, last] = it;
+    return std::tie(sealedVm, sealedIncarnation, sender, coversTokensIssuedAfter, keepFor, heldSets,
+                    batch, records, last);
+}
+
+template <Is<core::HandoverPointer> T>
+auto fields(T &it)
+{
+    auto &[sealedIncarnation, successor] = it;
+    return std::tie(sealedIncarnation, successor);
+}
+
+template <Is<core::ConfigurationDelta> T>
+auto fields(T &it)
+{
+    auto &[version, changes] = it;
+    return std::tie(version, changes);
+}
+
+/// Number of enumerators; the encoded value is below it.
+template <typename Enum>
+inline constexpr std::size_t enumeratorCount = 0;
+template <>
+inline constexpr std::size_t enumeratorCount<core::RefusalReason> = core::refusalReasonCount;
+template <>
+inline constexpr std::size_t enumeratorCount<core::FailureReason> = core::failureReasonCount;
+template <>
+inline constexpr std::size_t enumeratorCount<core::UnknownReason> = core::unknownReasonCount;
+
+} // namespace rattandock::adapters::detail
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -6,6 +6,7 @@
 
 #include "rattandock/adapters/json_document.hpp"
 #include "rattandock/adapters/json_object_reader.hpp"
+#include "rattandock/adapters/peer_codec.hpp"
 
 namespace rattandock::adapters {
 
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr std::size_t maxNameBytes = 64;
+constexpr std::size_t maxFileNameBytes = 512;
 constexpr std::int64_t maxHourMs = 3'600'000;
 
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &text)
@@ -183,6 +185,82 @@
     readInteger(reader, "maxReplyBytes", 1, 64 << 20, options.maxReplyBytes);
 }
 
+PeerAddress readPeer(JsonObjectReader &reader, const Settings &settings)
+{
+    PeerAddress peer;
+    peer.zone = settings.dispatcher.zone;
+    readName(reader, "vm", true, peer.vm);
+    readName(reader, "zone", false, peer.zone);
+    readAddress(reader, "address", peer.address);
+    if (!peer.vm.value().empty() && peer.vm == settings.dispatcher.vm) {
+        reader.report("vm", "is this VM");
+    }
+    return peer;
+}
+
+PeerTlsFiles readPeerTls(JsonObjectReader &reader)
+{
+    PeerTlsFiles files;
+    const auto read = [&reader](std::string_view key, std::string &into) {
+        reader.require(key);
+        into = reader.text(key, 1, maxFileNameBytes).value_or("");
+    };
+    read("certificate", files.certificate);
+    read("key", files.key);
+    read("authority", files.authority);
+    return files;
+}
+
+void readPeers(JsonObjectReader &reader, Settings &settings)
+{
+    if (reader.text("peerAddress", 1, 64)) {
+        readAddress(reader, "peerAddress", settings.peerAddress.emplace());
+    }
+    reader.child("peerTls", [&](JsonObjectReader &tls) { settings.peerTls = readPeerTls(tls); });
+    auto bytes = static_cast<std::int64_t>(settings.peerStreams.sendQueue.value());
+    readInteger(reader, "peerSendQueueBytes", maxPeerMessageBytes, 1LL << 32U, bytes);
+    settings.peerStreams.sendQueue = Bytes{static_cast<std::uint64_t>(bytes)};
+    reader.objects("peers", 0, 10'000, [&](JsonObjectReader &item) {
+        settings.peers.push_back(readPeer(item, settings));
+    });
+    if (!settings.peers.empty() && !settings.peerAddress) {
+        reader.report("peers", "needs peerAddress");
+    }
+}
+
+void reportDoubledPeers(const Settings &settings, Findings &findings)
+{
+    std::set<VmId> vms;
+    std::set<asio::ip::tcp::endpoint> addresses;
+    for (std::size_t n = 0; n < settings.peers.size(); ++n) {
+        const std::string place = "$.peers[" + std::to_string(n) + ']';
+        if (!vms.insert(settings.peers[n].vm).second) {
+            findings.add(place + ".vm", "stands twice");
+        }
+        if (!addresses.insert(settings.peers[n].address).second) {
+            findings.add(place + ".address", "stands twice");
+        }
+    }
+}
+
+/// Without TLS anyone who reaches the listener could speak as a peer.
+void reportOpenPeerAddresses(const Settings &settings, Findings &findings)
+{
+    if (settings.peerTls) {
+        return;
+    }
+    constexpr auto message = "must be a loopback address without peerTls";
+    if (settings.peerAddress && !settings.peerAddress->address().is_loopback()) {
+        findings.add("$.peerAddress", message);
+    }
+    for (std::size_t n = 0; n < settings.peers.size(); ++n) {
+        const auto &address = settings.peers[n].address.address();
+        if (!address.is_unspecified() && !address.is_loopback()) {
+            findings.add("$.peers[" + std::to_string(n) + "].address", message);
+        }
+    }
+}
+
 void readSettings(JsonObjectReader &reader, Settings &settings)
 {
     readName(reader, "vm", true, settings.dispatcher.vm);
@@ -200,6 +278,7 @@
     });
     reader.objects("teams", 0, 100'000,
                    [&](JsonObjectReader &item) { settings.teams.push_back(readTeam(item)); });
+    readPeers(reader, settings);
 }
 
 } // namespace
@@ -215,6 +294,8 @@
     JsonObjectReader reader{document.value(), "$", findings};
     readSettings(reader, settings);
     reader.reportUnknownKeys();
+    reportDoubledPeers(settings, findings);
+    reportOpenPeerAddresses(settings, findings);
     reportDoubledIds(settings, findings);
     settings.jobs.maxDeadline = settings.dispatcher.recordGrace;
     if (findings.empty()) {
@@ -238,6 +319,8 @@
     };
     add("", [&](JsonObjectReader &reader) { readSettings(reader, settings); });
     add("upstreams[].", [](JsonObjectReader &reader) { readUpstream(reader, {}); });
+    add("peers[].", [](JsonObjectReader &reader) { readPeer(reader, {}); });
+    add("peerTls.", [](JsonObjectReader &reader) { readPeerTls(reader); });
     add("teams[].", [](JsonObjectReader &reader) { readTeam(reader); });
     return keys;
 }
--- a/src/rattandock/adapters/settings_test.cpp
+++ b/src/rattandock/adapters/settings_test.cpp
@@ -26,6 +26,69 @@
                   "a.json: $.ioThread: is not a known key\n");
 }
 
+// Guards against peers that name this VM, each other or an address that anyone can reach.
+BOOST_AUTO_TEST_CASE(reportsFaultsOfPeers)
+{
+    const auto settings = parseSettings(R"({
+        "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
+        "peers": [{"vm": "a", "address": "127.0.0.1:8000"},
+                  {"vm": "b", "address": "10.0.0.1:8000"},
+                  {"vm": "b", "address": "127.0.0.1:8000"}, {"vm": "c"}],
+    })",
+                                        "a.json");
+    BOOST_REQUIRE(!settings);
+    BOOST_TEST(describe(settings.error())
+               == "a.json: $.peers[0].vm: is this VM\n"
+                  "a.json: $.peers[3].address: is missing\n"
+                  "a.json: $.peers: needs peerAddress\n"
+                  "a.json: $.peers[2].vm: stands twice\n"
+                  "a.json: $.peers[2].address: stands twice\n"
+                  "a.json: $.peers[1].address: must be a loopback address without peerTls\n");
+}
+
+// Guards against settings of peers that are read into the wrong place.
+BOOST_AUTO_TEST_CASE(readsPeers)
+{
+    const auto settings = parseSettings(R"({
+        "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
+        "peerAddress": "127.0.0.1:8001", "peerSendQueueBytes": 5000000,
+        "peers": [{"vm": "b", "zone": "z2", "address": "127.0.0.1:8002"},
+                  {"vm": "c", "address": "127.0.0.1:8003"}],
+    })",
+                                        "a.json");
+    BOOST_REQUIRE(settings);
+    const Settings &it = settings.value();
+    BOOST_TEST(it.peerAddress.value().port() == 8001);
+    BOOST_TEST(it.peerStreams.sendQueue == Bytes{5'000'000});
+    BOOST_REQUIRE(it.peers.size() == 2U);
+    BOOST_TEST(it.peers[0].vm == VmId{"b"});
+    BOOST_TEST(it.peers[0].zone == ZoneId{"z2"});
+    BOOST_TEST(it.peers[0].address.port() == 8002);
+    BOOST_TEST(it.peers[1].zone == ZoneId{"z1"});
+}
+
+// Guards against peers on open addresses that are refused with TLS, or TLS without its files.
+BOOST_AUTO_TEST_CASE(readsPeerTls)
+{
+    const std::string head = R"({
+        "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
+        "peerAddress": "10.0.0.1:8001", "peers": [{"vm": "b", "address": "10.0.0.2:8001"}],
+        "peerTls": )";
+    const auto settings = parseSettings(
+            head + R"({"certificate": "a.pem", "key": "a.key", "authority": "ca.pem"}})", "a.json");
+    BOOST_REQUIRE(settings);
+    const auto &files = settings.value().peerTls.value();
+    BOOST_TEST(files.certificate == "a.pem");
+    BOOST_TEST(files.key == "a.key");
+    BOOST_TEST(files.authority == "ca.pem");
+    const auto partial = parseSettings(head + R"({"certificate": "a.pem", "keys": ""}})", "a.json");
+    BOOST_REQUIRE(!partial);
+    BOOST_TEST(describe(partial.error())
+               == "a.json: $.peerTls.key: is missing\n"
+                  "a.json: $.peerTls.authority: is missing\n"
+                  "a.json: $.peerTls.keys: is not a known key\n");
+}
+
 // Guards against a syntax error without the line to look at.
 BOOST_AUTO_TEST_CASE(namesTheLineOfASyntaxError)
 {
