--- a/include/rattandock/core/reason.hpp
+++ b/include/rattandock/core/reason.hpp
@@ -18,14 +18,13 @@
     TokenExpired,
     TokenRevoked,
     TokenForged,
-    LeaseLapsed,
     SealedNeverSeen,
     IdReused,
     Cancelled,
     RetryBudgetEmpty,
     KeyValidityPassed,
 };
-inline constexpr std::size_t refusalReasonCount = 17;
+inline constexpr std::size_t refusalReasonCount = 16;
 
 /// Why a job failed after at least one of its tasks may have started.
 enum class FailureReason : std::uint8_t {
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -1,5 +1,6 @@
 #include "metric_tables.hpp"
 
+#include "rattandock/core/placement_policy.hpp"
 #include "rattandock/core/reason.hpp"
 
 namespace rattandock::adapters::detail {
--- a/src/rattandock/core/reason.cpp
+++ b/src/rattandock/core/reason.cpp
@@ -17,11 +17,10 @@
 std::string_view name(RefusalReason reason)
 {
     static constexpr std::array<std::string_view, refusalReasonCount> names{
-            "draining",           "queue-full",    "deadline-too-short", "deadline-passed",
-            "no-upstream-fits",   "no-upstreams",  "quota-exceeded",     "record-table-full",
-            "token-expired",      "token-revoked", "token-forged",       "lease-lapsed",
-            "sealed-never-seen",  "id-reused",     "cancelled",          "retry-budget-empty",
-            "key-validity-passed"};
+            "draining",         "queue-full",    "deadline-too-short", "deadline-passed",
+            "no-upstream-fits", "no-upstreams",  "quota-exceeded",     "record-table-full",
+            "token-expired",    "token-revoked", "token-forged",       "sealed-never-seen",
+            "id-reused",        "cancelled",     "retry-budget-empty", "key-validity-passed"};
     return lookUp(names, reason);
 }
 
