Use the platform from the daemon and demonstrate a fleet of three VMs

Cause: the core's table actions had no port, so ids without a token could not be used with several VMs, and two VMs with peers would both have accepted the same key. Change: PlatformBridge carries out reads and transactions on an I/O thread and follows the VM list; settings with peers need platformAddress, which switches key ranges on. A lagging list no longer restores an upstream that said it is leaving. scripts/demo.sh runs three linked daemons and shows forwarding to the home and the stored answer after a planned stop of the home.

--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -42,6 +42,9 @@
     JobLimits jobs;
     UpstreamClientOptions upstreamClient;
     core::DispatcherOptions dispatcher;
+    /// Nothing for a single VM that needs no platform.
+    std::optional<boost::asio::ip::tcp::endpoint> platformAddress;
+    Duration vmListInterval = std::chrono::seconds{1};
     std::vector<UpstreamSettings> upstreams;
     std::vector<core::TeamSpec> teams;
 };
--- a/include/rattandock/app/decision_loop.hpp
+++ b/include/rattandock/app/decision_loop.hpp
@@ -19,6 +19,7 @@
     ports::UpstreamPort &upstreams;
     ports::CallerPort &callers;
     ports::PeerPort &peers;
+    ports::TablePort &table;
     ports::NoteSink &notes;
 };
 
--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -156,6 +156,9 @@
     std::set<std::pair<TimePoint, JobHandle>> m_deadlines;
     std::uint64_t m_nextAttempt = 1;
     ConfigurationVersion m_configuration;
+    /// Upstreams that said they are leaving before the lagging list did; until the list follows,
+    /// its word that they are live is old.
+    std::set<UpstreamId> m_leavingUnlisted;
     /// Tokens issued before this time start no new job.
     TimePoint m_revokedBefore = TimePoint::min();
     std::optional<TimePoint> m_lastHandled;
--- a/include/rattandock/ports/action_ports.hpp
+++ b/include/rattandock/ports/action_ports.hpp
@@ -32,6 +32,17 @@
     virtual void send(core::SendToPeer message) = 0;
 };
 
+/// Reaches the platform's table; each call leads to one TableRowsRead, TableTransacted or
+/// TableFailed, or to none if the process ends first.
+/// Thread safety: called from the decision thread only; must not block.
+class TablePort
+{
+public:
+    virtual ~TablePort() = default;
+    virtual void read(core::ReadTable request) = 0;
+    virtual void transact(core::TransactTable transaction) = 0;
+};
+
 /// Counts, logs and keeps decisions for `explain`.
 /// Thread safety: called from the decision thread only; must not block.
 class NoteSink
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Shows rattandock at work on this machine: scripts/demo.sh
-# Installs what is missing, builds, starts stand-ins for the upstreams and the platform and one
+# Installs what is missing, builds, starts stand-ins for the upstreams and the platform and three
 # rattandockd on loopback ports 7500 to 7529, runs jobs, and stops everything that it started.
 # Fails if the first job is not complete, an answer is not whole, or a task started twice.
 set -euo pipefail
@@ -14,9 +14,11 @@
 source scripts/lib/processes.sh
 trap 'stop_all_servers; rm -rf "$work"' EXIT
 
-port=7500
+ports=(7500 7520 7523)
+port=${ports[0]}
 first_upstream=7510
-upstreams=10
+upstreams=9
+per_daemon=3
 start_log=$work/starts.log
 problems=0
 
@@ -47,31 +49,64 @@
   echo "\"results\":[${text:1}]"
 }
 
-# submit JOB_FILE ANSWER_FILE
+# submit JOB_FILE ANSWER_FILE [PORT]
 submit() {
   curl -s --max-time 30 -o "$2" -H 'Content-Type: application/json' --data-binary "@$1" \
-    "http://127.0.0.1:$port/v1/jobs"
+    "http://127.0.0.1:${3:-$port}/v1/jobs"
 }
 
 is_whole() { grep -qF '"outcome":"complete"' "$1" && grep -qF "$(expected_results "$2" "$3")" "$1"; }
 
 cat >"$work/upstreams.json" <<EOF
-{ // Ten upstreams with 8 slots; the slowest takes four times as long as the fastest.
+{ // Nine upstreams with 8 slots; the slowest takes four times as long as the fastest.
   "firstPort": $first_upstream, "count": $upstreams, "startLog": "$start_log",
   "runTime": {"factor": 1.0, "jitter": 0.2, "speedSpread": 4.0, "seed": 1}
 }
 EOF
-write_daemon_settings "$work/daemon.json" $port $first_upstream $upstreams
+
+# peers_of N: the settings members that link daemon N to the others and to the platform.
+peers_of() {
+  local m separator=""
+  echo "\"platformAddress\": \"127.0.0.1:7505\", \"peerAddress\": \"127.0.0.1:$((ports[$1] + 2))\", \"peers\": ["
+  for m in 0 1 2; do
+    if [ "$m" -ne "$1" ]; then
+      echo "$separator{\"vm\": \"vm-${ports[m]}\", \"address\": \"127.0.0.1:$((ports[m] + 2))\"}"
+      separator=","
+    fi
+  done
+  echo "],"
+}
 
 echo
-echo "1. Starting $upstreams upstreams, the platform stand-in and one rattandockd"
+echo "1. Starting $upstreams upstreams, the platform stand-in and three rattandockd"
 start_server upstreams "$upstream_standin" --settings "$work/upstreams.json"
 start_server platform "$platform_standin" --port 7505
 wait_for_url "http://127.0.0.1:$first_upstream/faults" upstreams
 wait_for_url "http://127.0.0.1:7505/vms" platform
-start_server daemon "$rattandockd" --settings "$work/daemon.json"
-wait_for_url "http://127.0.0.1:$((port + 1))/readyz" daemon
-echo "   callers: 127.0.0.1:$port, operators: 127.0.0.1:$((port + 1))"
+for n in 0 1 2; do
+  # Each daemon has upstreams of its own: slots are not yet shared between VMs.
+  write_daemon_settings "$work/daemon-$n.json" "${ports[n]}" $((first_upstream + n * per_daemon)) \
+    $per_daemon 8 "$(peers_of "$n")"
+  start_server "daemon-$n" "$rattandockd" --settings "$work/daemon-$n.json"
+done
+for n in 0 1 2; do
+  wait_for_url "http://127.0.0.1:$((ports[n] + 1))/readyz" "daemon-$n"
+  echo "   vm-${ports[n]}: callers 127.0.0.1:${ports[n]}, operators 127.0.0.1:$((ports[n] + 1)), peers 127.0.0.1:$((ports[n] + 2))"
+done
+
+# wait_for_heartbeat PORT: waits up to 10 s until the daemon has heard of a peer.
+wait_for_heartbeat() {
+  local n
+  for ((n = 0; n < 100; n++)); do
+    curl -sf --max-time 1 "http://127.0.0.1:$(($1 + 1))/metrics" \
+      | grep -qE '^rattandock_peer_messages_received_total.reason="heartbeat".? [2-9]' && return 0
+    sleep 0.1
+  done
+  problem "the daemon on port $1 has no peers"
+}
+for n in 0 1 2; do
+  wait_for_heartbeat "${ports[n]}"
+done
 
 echo
 echo "2. One job of 200 tasks of 50 to 275 ms"
@@ -96,7 +131,16 @@
 fi
 
 echo
-echo "4. A burst of 40 jobs of 20 tasks at the same moment"
+echo "4. The same job at another VM, which forwards it to its home"
+submit "$work/job.json" "$work/forwarded.json" "${ports[1]}"
+if cmp -s "$work/answer.json" "$work/forwarded.json"; then
+  echo "   the stored answer came back; still $(starts_of "$start_log" first#) starts"
+else
+  problem "the forwarded answer differs: $(head -c 300 "$work/forwarded.json")"
+fi
+
+echo
+echo "5. A burst of 40 jobs of 20 tasks at the same moment"
 for ((n = 0; n < 40; n++)); do
   write_job "$work/burst-$n.json" "$token/burst-$n" 20 "b$n"
 done
@@ -123,18 +167,23 @@
 echo "   $complete complete, $refused refused as not run, after $elapsed ms"
 
 echo
-echo "5. The upstreams' own log of starts"
+echo "6. Stopping the job's home as planned (SIGTERM); its records go to another VM"
+stop_server daemon-0 TERM || problem "the daemon's exit status is $?"
+submit "$work/job.json" "$work/after-stop.json" "${ports[1]}"
+if cmp -s "$work/answer.json" "$work/after-stop.json"; then
+  echo "   the job sent again to vm-${ports[1]}: the stored answer came back"
+else
+  problem "after the planned stop the answer differs: $(head -c 300 "$work/after-stop.json")"
+fi
+
+echo
+echo "7. The upstreams' own log of starts"
 starts=$(wc -l <"$start_log")
 doubled=$(doubled_starts "$start_log" | wc -l)
 echo "   $starts tasks started, $doubled of them twice"
 [ "$starts" -ge 200 ] || problem "fewer starts than the first job has tasks"
 [ "$doubled" -eq 0 ] || problem "tasks started twice: $(doubled_starts "$start_log" | head -3)"
 
-echo
-echo "6. Stopping the daemon as planned (SIGTERM)"
-stop_server daemon TERM || problem "the daemon's exit status is $?"
-echo "   stopped"
-
 echo
 if [ "$problems" -ne 0 ]; then
   echo "Demo failed: $problems problems."
--- a/scripts/lib/processes.sh
+++ b/scripts/lib/processes.sh
@@ -67,13 +67,14 @@
   return 1
 }
 
-# write_daemon_settings FILE PORT FIRST_UPSTREAM_PORT COUNT [SLOTS]: callers on PORT, operators on
-# PORT + 1.
+# write_daemon_settings FILE PORT FIRST_UPSTREAM_PORT COUNT [SLOTS [MEMBERS]]: callers on PORT,
+# operators on PORT + 1; MEMBERS are further members, each with a comma after it.
 write_daemon_settings() {
   local n separator=""
   {
     echo "{ \"vm\": \"vm-$2\", \"zone\": \"z1\", \"logLevel\": \"${LOG_LEVEL:-warn}\","
     echo "  \"callerAddress\": \"127.0.0.1:$2\", \"operatorAddress\": \"127.0.0.1:$(($2 + 1))\","
+    echo "  ${6:-}"
     echo "  \"upstreams\": ["
     for ((n = 0; n < $4; n++)); do
       echo "    $separator{\"id\": \"u$n\", \"address\": \"127.0.0.1:$(($3 + n))\", \"slots\": ${5:-8}, \"cores\": 64, \"memoryMb\": 131072}"
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -211,6 +211,15 @@
     return files;
 }
 
+void readPlatform(JsonObjectReader &reader, Settings &settings)
+{
+    if (reader.text("platformAddress", 1, 64)) {
+        readAddress(reader, "platformAddress", settings.platformAddress.emplace());
+    }
+    settings.dispatcher.keyRanges = settings.platformAddress.has_value();
+    readMilliseconds(reader, "vmListIntervalMs", 100, 60'000, settings.vmListInterval);
+}
+
 void readPeers(JsonObjectReader &reader, Settings &settings)
 {
     if (reader.text("peerAddress", 1, 64)) {
@@ -226,6 +235,10 @@
     if (!settings.peers.empty() && !settings.peerAddress) {
         reader.report("peers", "needs peerAddress");
     }
+    if (!settings.peers.empty() && !settings.platformAddress) {
+        // Without leases on key ranges two VMs could start the same key.
+        reader.report("peers", "needs platformAddress");
+    }
 }
 
 void reportDoubledPeers(const Settings &settings, Findings &findings)
@@ -278,6 +291,7 @@
     });
     reader.objects("teams", 0, 100'000,
                    [&](JsonObjectReader &item) { settings.teams.push_back(readTeam(item)); });
+    readPlatform(reader, settings);
     readPeers(reader, settings);
 }
 
--- a/src/rattandock/adapters/settings_page_test.cpp
+++ b/src/rattandock/adapters/settings_page_test.cpp
@@ -128,6 +128,7 @@
             {"recordGraceMs", toMilliseconds(core.recordGrace)},
             {"keyValidityMs", toMilliseconds(core.keyValidity)},
             {"stopLimitMs", toMilliseconds(core.stopLimit)},
+            {"vmListIntervalMs", toMilliseconds(it.vmListInterval)},
             {"replyGraceMs", toMilliseconds(core.replyGrace)},
             {"retryBackoffMs", toMilliseconds(core.retryBackoff)},
             {"connectionsPerUpstream", it.upstreamClient.connectionsPerUpstream},
--- a/src/rattandock/adapters/settings_test.cpp
+++ b/src/rattandock/adapters/settings_test.cpp
@@ -41,6 +41,7 @@
                == "a.json: $.peers[0].vm: is this VM\n"
                   "a.json: $.peers[3].address: is missing\n"
                   "a.json: $.peers: needs peerAddress\n"
+                  "a.json: $.peers: needs platformAddress\n"
                   "a.json: $.peers[2].vm: stands twice\n"
                   "a.json: $.peers[2].address: stands twice\n"
                   "a.json: $.peers[1].address: must be a loopback address without peerTls\n");
@@ -51,6 +52,7 @@
 {
     const auto settings = parseSettings(R"({
         "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
+        "platformAddress": "127.0.0.1:7400",
         "peerAddress": "127.0.0.1:8001", "peerSendQueueBytes": 5000000,
         "peers": [{"vm": "b", "zone": "z2", "address": "127.0.0.1:8002"},
                   {"vm": "c", "address": "127.0.0.1:8003"}],
@@ -59,6 +61,8 @@
     BOOST_REQUIRE(settings);
     const Settings &it = settings.value();
     BOOST_TEST(it.peerAddress.value().port() == 8001);
+    BOOST_TEST(it.platformAddress.value().port() == 7400);
+    BOOST_TEST(it.dispatcher.keyRanges);
     BOOST_TEST(it.peerStreams.sendQueue == Bytes{5'000'000});
     BOOST_REQUIRE(it.peers.size() == 2U);
     BOOST_TEST(it.peers[0].vm == VmId{"b"});
@@ -72,7 +76,7 @@
 {
     const std::string head = R"({
         "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0", "operatorAddress": "127.0.0.1:0",
-        "peerAddress": "10.0.0.1:8001", "peers": [{"vm": "b", "address": "10.0.0.2:8001"}],
+        "platformAddress": "10.0.0.3:7400", "peerAddress": "10.0.0.1:8001", "peers": [{"vm": "b", "address": "10.0.0.2:8001"}],
         "peerTls": )";
     const auto settings = parseSettings(
             head + R"({"certificate": "a.pem", "key": "a.key", "authority": "ca.pem"}})", "a.json");
--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -13,6 +13,7 @@
 #include "rattandock/app/decision_loop.hpp"
 #include "rattandock/app/event_history.hpp"
 #include "rattandock/app/operator_api.hpp"
+#include "rattandock/app/platform_bridge.hpp"
 #include "rattandock/app/routing_snapshot.hpp"
 
 namespace rattandock::app {
@@ -111,6 +112,8 @@
     void drain();
     /// Binds the peer listener and opens the links, if the settings have them.
     void startPeers(Findings &findings);
+    /// Begins to use the platform, if the settings have it.
+    void startPlatform();
 
     adapters::Settings settings;
     adapters::SystemClock clock;
@@ -123,6 +126,8 @@
     adapters::UpstreamClient upstreams;
     NoPeers noPeers;
     std::unique_ptr<adapters::PeerStreams> peers;
+    NoTable noTable{loop};
+    std::unique_ptr<PlatformBridge> platform;
     CallerApi callerApi;
     OperatorApi operatorApi;
     std::unique_ptr<HttpServer> callerServer;
@@ -166,6 +171,20 @@
     peers->connect(settings.peers);
 }
 
+void Daemon::Parts::startPlatform()
+{
+    if (!settings.platformAddress) {
+        return;
+    }
+    adapters::PlatformClientOptions options;
+    options.address = *settings.platformAddress;
+    // Not longer than the core waits, so that a call that it gave up is not tried again.
+    options.deadline = settings.dispatcher.tableTimeout;
+    options.seed = randomValue<std::uint64_t>();
+    platform = std::make_unique<PlatformBridge>(threads, clock, metrics, loop, options,
+                                                settings.vmListInterval);
+}
+
 Checked<std::unique_ptr<Daemon>> Daemon::start(const adapters::Settings &settings)
 {
     auto parts = std::make_unique<Parts>(settings);
@@ -173,9 +192,15 @@
     Findings findings;
     it.startPeers(findings);
     ports::PeerPort &peerPort = it.peers ? static_cast<ports::PeerPort &>(*it.peers) : it.noPeers;
-    it.loop.start({it.upstreams, it.answers, peerPort, it.history});
+    it.startPlatform();
+    ports::TablePort &table =
+            it.platform ? static_cast<ports::TablePort &>(*it.platform) : it.noTable;
+    it.loop.start({it.upstreams, it.answers, peerPort, table, it.history});
     it.loop.post(configurationOf(it.settings));
     it.loop.waitForPosted();
+    if (it.platform) {
+        it.platform->start();
+    }
     const auto badRequest = [&it](std::string_view reason) {
         it.metrics.count("bad_requests", reason);
     };
@@ -291,6 +316,9 @@
         m_parts->peers->stop();
     }
     m_parts->loop.stop();
+    if (m_parts->platform) {
+        m_parts->platform->shutDown();
+    }
     m_parts->threads.stop();
 }
 
--- a/src/rattandock/app/decision_loop.cpp
+++ b/src/rattandock/app/decision_loop.cpp
@@ -104,8 +104,8 @@
                            [&](core::StopTask &it) { m_ports->upstreams.stop(std::move(it)); },
                            [&](core::AnswerCaller &it) { m_ports->callers.answer(std::move(it)); },
                            [&](core::SendToPeer &it) { m_ports->peers.send(std::move(it)); },
-                           // Not emitted while the option keyRanges is off.
-                           [](core::ReadTable &) {}, [](core::TransactTable &) {},
+                           [&](core::ReadTable &it) { m_ports->table.read(std::move(it)); },
+                           [&](core::TransactTable &it) { m_ports->table.transact(std::move(it)); },
                            [&](core::Note &it) { m_ports->notes.note(it, now); },
                            [&](core::Stopped &) { m_stopped = true; }},
                 action);
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -119,6 +119,7 @@
     m_scheduler.attemptEnded(attempt.task, attempt.upstream, event.result, event.elapsed, now,
                              actions);
     if (event.upstreamLeaving) {
+        m_leavingUnlisted.insert(attempt.upstream);
         m_scheduler.seeUpstream(attempt.upstream, UpstreamLife::Leaving, now, actions);
         giveUpStranded(actions);
     }
@@ -211,6 +212,10 @@
 
 void Dispatcher::on(const UpstreamSeen &event, TimePoint now, Actions &actions)
 {
+    if (event.life == UpstreamLife::Live && m_leavingUnlisted.contains(event.upstream)) {
+        return;
+    }
+    m_leavingUnlisted.erase(event.upstream);
     m_scheduler.seeUpstream(event.upstream, event.life, now, actions);
     giveUpStranded(actions);
 }
--- a/src/rattandock/core/dispatcher_test.cpp
+++ b/src/rattandock/core/dispatcher_test.cpp
@@ -163,4 +163,20 @@
     BOOST_TEST((answers[0].outcome == expected));
 }
 
+// Guards against new work for a leaving upstream because the lagging list still calls it live.
+BOOST_AUTO_TEST_CASE(laggingListDoesNotRestoreALeavingUpstream)
+{
+    send(JobSubmitted{CallerRequestId{1}, job("a", 1)});
+    const auto starts = take<StartTask>();
+    BOOST_REQUIRE_EQUAL(starts.size(), 1);
+    send(AttemptEnded{starts[0].attempt, AttemptCompleted{"x"}, 100ms, true});
+    send(UpstreamSeen{UpstreamId{"u1"}, UpstreamLife::Live});
+    send(JobSubmitted{CallerRequestId{2}, job("b", 1)});
+    BOOST_TEST(take<StartTask>().size() == 1);
+    send(UpstreamSeen{UpstreamId{"u1"}, UpstreamLife::Gone});
+    send(UpstreamSeen{UpstreamId{"u1"}, UpstreamLife::Live});
+    send(JobSubmitted{CallerRequestId{3}, job("c", 1)});
+    BOOST_TEST(take<StartTask>().size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
