--- a/src/rattandock/app/bad_input_test.cpp
+++ b/src/rattandock/app/bad_input_test.cpp
@@ -58,7 +58,7 @@
 
 std::vector<Case> jsonCases()
 {
-    const auto bad = [](std::string name, std::string body, std::string named) {
+    const auto bad = [](std::string name, const std::string &body, std::string named) {
         return Case{std::move(name), post(body), 400, "bad-job", std::move(named)};
     };
     return {
