--- a/include/rattandock/core/dispatcher.hpp
+++ b/include/rattandock/core/dispatcher.hpp
@@ -33,6 +33,8 @@
     /// Stopped VMs for which this VM answers.
     std::size_t sealedSets = 0;
     std::size_t heldKeyRanges = 0;
+    /// Ranges whose holder this VM has read.
+    std::size_t knownKeyRanges = 0;
 };
 
 /// What `GET /v1/jobs/ID` tells of a job.
@@ -103,6 +105,8 @@
                     TimePoint now, Actions &actions);
     /// Sees from the time since the last event that the process was paused.
     void noticePause(TimePoint now);
+    /// The linked VM that holds the range, or that took over its planned stop.
+    std::optional<KeyHolder> reachableHolder(std::uint32_t range) const;
     /// Routes a key-form id by the standing of its range. False if this VM may accept it.
     bool answeredByRange(const Requester &from, const JobSpec &job, TimePoint now,
                          Actions &actions);
--- a/include/rattandock/core/key_ranges.hpp
+++ b/include/rattandock/core/key_ranges.hpp
@@ -38,6 +38,8 @@
     /// The holder at the last look; nothing if there is none.
     std::optional<KeyHolder> holder(std::uint32_t range) const;
     std::size_t heldCount() const;
+    /// Ranges whose holder this VM has read.
+    std::size_t knownCount() const;
 
     /// Starts the read or ends the wait that is due. Precondition: key ranges are on.
     void step(TimePoint now, Actions &actions);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,10 +12,12 @@
 
 work=$(mktemp -d)
 source scripts/lib/processes.sh
+source scripts/lib/fleet.sh
 trap 'stop_all_servers; rm -rf "$work"' EXIT
 
-ports=(7500 7520 7523)
-port=${ports[0]}
+fleet_ports=(7500 7520 7523)
+platform_port=7505
+port=${fleet_ports[0]}
 first_upstream=7510
 upstreams=9
 per_daemon=3
@@ -64,48 +66,15 @@
 }
 EOF
 
-# peers_of N: the settings members that link daemon N to the others and to the platform.
-peers_of() {
-  local m separator=""
-  echo "\"platformAddress\": \"127.0.0.1:7505\", \"peerAddress\": \"127.0.0.1:$((ports[$1] + 2))\", \"peers\": ["
-  for m in 0 1 2; do
-    if [ "$m" -ne "$1" ]; then
-      echo "$separator{\"vm\": \"vm-${ports[m]}\", \"address\": \"127.0.0.1:$((ports[m] + 2))\"}"
-      separator=","
-    fi
-  done
-  echo "],"
-}
-
 echo
 echo "1. Starting $upstreams upstreams, the platform stand-in and three rattandockd"
 start_server upstreams "$upstream_standin" --settings "$work/upstreams.json"
-start_server platform "$platform_standin" --port 7505
+start_server platform "$platform_standin" --port $platform_port
 wait_for_url "http://127.0.0.1:$first_upstream/faults" upstreams
-wait_for_url "http://127.0.0.1:7505/vms" platform
-for n in 0 1 2; do
-  # Each daemon has upstreams of its own: slots are not yet shared between VMs.
-  write_daemon_settings "$work/daemon-$n.json" "${ports[n]}" $((first_upstream + n * per_daemon)) \
-    $per_daemon 8 "$(peers_of "$n")"
-  start_server "daemon-$n" "$rattandockd" --settings "$work/daemon-$n.json"
-done
-for n in 0 1 2; do
-  wait_for_url "http://127.0.0.1:$((ports[n] + 1))/readyz" "daemon-$n"
-  echo "   vm-${ports[n]}: callers 127.0.0.1:${ports[n]}, operators 127.0.0.1:$((ports[n] + 1)), peers 127.0.0.1:$((ports[n] + 2))"
-done
-
-# wait_for_heartbeat PORT: waits up to 10 s until the daemon has heard of a peer.
-wait_for_heartbeat() {
-  local n
-  for ((n = 0; n < 100; n++)); do
-    curl -sf --max-time 1 "http://127.0.0.1:$(($1 + 1))/metrics" \
-      | grep -qE '^rattandock_peer_messages_received_total.reason="heartbeat".? [2-9]' && return 0
-    sleep 0.1
-  done
-  problem "the daemon on port $1 has no peers"
-}
-for n in 0 1 2; do
-  wait_for_heartbeat "${ports[n]}"
+wait_for_url "http://127.0.0.1:$platform_port/vms" platform
+start_fleet $first_upstream $per_daemon
+for it in "${fleet_ports[@]}"; do
+  echo "   vm-$it: callers 127.0.0.1:$it, operators 127.0.0.1:$((it + 1)), peers 127.0.0.1:$((it + 2))"
 done
 
 echo
@@ -132,7 +101,7 @@
 
 echo
 echo "4. The same job at another VM, which forwards it to its home"
-submit "$work/job.json" "$work/forwarded.json" "${ports[1]}"
+submit "$work/job.json" "$work/forwarded.json" "${fleet_ports[1]}"
 if cmp -s "$work/answer.json" "$work/forwarded.json"; then
   echo "   the stored answer came back; still $(starts_of "$start_log" first#) starts"
 else
@@ -169,9 +138,9 @@
 echo
 echo "6. Stopping the job's home as planned (SIGTERM); its records go to another VM"
 stop_server daemon-0 TERM || problem "the daemon's exit status is $?"
-submit "$work/job.json" "$work/after-stop.json" "${ports[1]}"
+submit "$work/job.json" "$work/after-stop.json" "${fleet_ports[1]}"
 if cmp -s "$work/answer.json" "$work/after-stop.json"; then
-  echo "   the job sent again to vm-${ports[1]}: the stored answer came back"
+  echo "   the job sent again to vm-${fleet_ports[1]}: the stored answer came back"
 else
   problem "after the planned stop the answer differs: $(head -c 300 "$work/after-stop.json")"
 fi
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -10,7 +10,7 @@
 sources=(
   src/rattandock/base/finding.cpp
   src/rattandock/core/{home_token,job_outcome,placement_policy,reason}.cpp
-  src/rattandock/adapters/{base64,job_json,json_object_reader,json_parse,settings}.cpp
+  src/rattandock/adapters/{base64,job_json,json_document,json_object_reader,json_parse,settings}.cpp
 )
 out=build/fuzz
 mkdir -p "$out"
--- a/src/rattandock/app/operator_api.cpp
+++ b/src/rattandock/app/operator_api.cpp
@@ -167,6 +167,9 @@
                        {"records", status.records},
                        {"queuedTasks", status.queuedTasks},
                        {"runningTasks", status.runningTasks},
+                       {"sealedSets", status.sealedSets},
+                       {"keyRanges", status.heldKeyRanges},
+                       {"keyRangesKnown", status.knownKeyRanges},
                        {"decisions", std::move(decisions)}});
 }
 
--- a/src/rattandock/core/dispatcher.cpp
+++ b/src/rattandock/core/dispatcher.cpp
@@ -65,8 +65,14 @@
 
 DispatcherStatus Dispatcher::status() const
 {
-    return {m_jobs.size(),   m_scheduler.queuedTasks(), m_scheduler.runningTasks(), m_draining,
-            m_configuration, m_sealedSets.all().size(), m_keyRanges.heldCount()};
+    return {m_jobs.size(),
+            m_scheduler.queuedTasks(),
+            m_scheduler.runningTasks(),
+            m_draining,
+            m_configuration,
+            m_sealedSets.all().size(),
+            m_keyRanges.heldCount(),
+            m_keyRanges.knownCount()};
 }
 
 std::optional<JobView> Dispatcher::view(const JobId &id) const
--- a/src/rattandock/core/dispatcher_submit.cpp
+++ b/src/rattandock/core/dispatcher_submit.cpp
@@ -93,9 +93,8 @@
     case KeyStanding::Elsewhere:
         break;
     }
-    const auto holder = m_keyRanges.holder(range);
-    if (holder && std::holds_alternative<CallerRequestId>(from)
-        && m_peers.incarnation(holder->vm) == holder->incarnation) {
+    const auto holder = reachableHolder(range);
+    if (holder && std::holds_alternative<CallerRequestId>(from)) {
         forward(from, job, holder->vm, holder->incarnation, now, actions);
     } else {
         answer(from, job.id, Unknown{UnknownReason::HolderUnreachable}, actions);
@@ -103,6 +102,23 @@
     return true;
 }
 
+std::optional<KeyHolder> Dispatcher::reachableHolder(std::uint32_t range) const
+{
+    const auto holder = m_keyRanges.holder(range);
+    if (!holder || m_peers.incarnation(holder->vm) == holder->incarnation) {
+        return holder;
+    }
+    // After a planned stop the ranges go to the successor of the records; the rows that this VM
+    // read may be a whole renewal old.
+    const auto pointer = m_pointers.find(holder->incarnation);
+    if (pointer == m_pointers.end() || pointer->second.successor == m_options.vm) {
+        return std::nullopt;
+    }
+    const VmId &successor = pointer->second.successor;
+    const auto incarnation = m_peers.incarnation(successor);
+    return incarnation ? std::optional{KeyHolder{successor, *incarnation}} : std::nullopt;
+}
+
 void Dispatcher::noticePause(TimePoint now)
 {
     // The timer comes at least every eighth of the travel time.
--- a/src/rattandock/core/key_ranges.cpp
+++ b/src/rattandock/core/key_ranges.cpp
@@ -50,6 +50,12 @@
     return it.row ? std::optional{it.row->holder} : std::nullopt;
 }
 
+std::size_t KeyRanges::knownCount() const
+{
+    return static_cast<std::size_t>(
+            std::ranges::count_if(m_ranges, [](const Range &it) { return it.row.has_value(); }));
+}
+
 std::size_t KeyRanges::heldCount() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_ranges, &Range::held));
@@ -124,6 +130,10 @@
             confirmLease(*it.value);
         }
     }
+    if (knownCount() < m_ranges.size()) {
+        // Others take the free ranges in this moment; a key of theirs must find them.
+        m_nextCycle = std::min(m_nextCycle, now + m_options.tableRetry);
+    }
     if (heldCount() != before) {
         actions.emplace_back(Note{NoteKind::KeyRangeChanged,
                                   "taken",
