--- a/cmake/layer.cmake
+++ b/cmake/layer.cmake
@@ -20,6 +20,6 @@
         Boost::unit_test_framework rapidcheck ${ARG_TEST_DEPENDS})
     add_test(NAME ${NAME} COMMAND rattandock-${NAME}-test)
     # Ends a test program that hangs; no test asserts a time.
-    set_tests_properties(${NAME} PROPERTIES TIMEOUT 300 LABELS layer)
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 600 LABELS layer)
     add_dependencies(tests rattandock-${NAME}-test)
 endfunction()
