--- a/src/rattandock/core/scheduler_test.cpp
+++ b/src/rattandock/core/scheduler_test.cpp
@@ -148,8 +148,8 @@
 {
     configure(2, 2);
     submit(1, 1);
-    for (int n = 0; n < 200; ++n) {
-        submit(static_cast<std::uint64_t>(2 + n), 4);
+    for (std::uint64_t n = 0; n < 200; ++n) {
+        submit(2 + n, 4);
         for (const PlacedTask &it : dispatch()) {
             const Duration elapsed = it.upstream == UpstreamId{"0"} ? 50ms : 200ms;
             scheduler.attemptEnded(it.task, it.upstream, AttemptCompleted{}, elapsed, now, actions);
--- a/src/rattandock/core/slot_broker_test.cpp
+++ b/src/rattandock/core/slot_broker_test.cpp
@@ -48,20 +48,21 @@
     }
 
     /// Delivers all messages until none is left; returns their number.
-    std::size_t deliver(const VmId &from, SlotBroker::Outbox outbox)
+    std::size_t deliver(const VmId &from, const SlotBroker::Outbox &outbox)
     {
         std::size_t count = 0;
         for (const auto &[to, message] : outbox) {
             ++count;
             SlotBroker::Outbox replies;
+            SlotBroker &receiver = brokers.at(to);
             std::visit(
                     [&](const auto &it) {
-                        if constexpr (requires { brokers.at(to).on(from, it, replies); }) {
-                            brokers.at(to).on(from, it, replies);
+                        if constexpr (requires { receiver.on(from, it, replies); }) {
+                            receiver.on(from, it, replies);
                         }
                     },
                     message);
-            count += deliver(to, std::move(replies));
+            count += deliver(to, replies);
         }
         return count;
     }
@@ -70,7 +71,7 @@
     {
         SlotBroker::Outbox outbox;
         brokers.at(by).request({{ofA, count}}, outbox);
-        return deliver(by, std::move(outbox));
+        return deliver(by, outbox);
     }
 
     std::map<VmId, SlotBroker> brokers{
@@ -131,13 +132,13 @@
     for (int n = 0; n < 4; ++n) {
         SlotBroker::Outbox outbox;
         brokers.at(vmA).giveBack(ofA, 100ms, outbox);
-        BOOST_TEST(deliver(vmA, std::move(outbox)) == 1);
+        BOOST_TEST(deliver(vmA, outbox) == 1);
     }
     BOOST_TEST(brokers.at(vmB).available(ofA) == 8);
     SlotBroker::Outbox outbox;
     brokers.at(vmB).releaseIdle(outbox);
     BOOST_REQUIRE_EQUAL(outbox.size(), 1);
-    deliver(vmB, std::move(outbox));
+    deliver(vmB, outbox);
     BOOST_TEST(brokers.at(vmB).available(ofA) == 0);
     BOOST_TEST(brokers.at(vmC).available(ofA) == 1);
     BOOST_TEST(brokers.at(vmA).available(ofA) == 7);
