--- a/include/rattandock/adapters/http_message.hpp
+++ b/include/rattandock/adapters/http_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,9 @@
     std::string query;
     HttpHeaders headers;
     std::string body;
+    /// Set by HttpServer: has the function called if the client closes the connection before the
+    /// answer. Call at most once, from the handler's fiber; the function runs on its thread.
+    std::function<void(std::function<void()> onClosed)> watchClose;
 
     /// The first header of that name in any case, or an empty string.
     const std::string &header(std::string_view name) const;
--- a/include/rattandock/adapters/peer_codec.hpp
+++ b/include/rattandock/adapters/peer_codec.hpp
@@ -10,7 +10,7 @@
 namespace rattandock::adapters {
 
 /// Grows with each change of a message's fields; daemons refuse every other version.
-inline constexpr std::uint16_t peerProtocolVersion = 1;
+inline constexpr std::uint16_t peerProtocolVersion = 2;
 /// Bound of one encoded message with its header, and of the list elements in one message.
 inline constexpr std::size_t maxPeerMessageBytes = 4U << 20U;
 inline constexpr std::size_t maxPeerVmBytes = 64;
--- a/include/rattandock/adapters/peer_streams.hpp
+++ b/include/rattandock/adapters/peer_streams.hpp
@@ -76,6 +76,13 @@
     /// Opens the links and lets these VMs send. Precondition: called once, before any send().
     void connect(const std::vector<PeerAddress> &peers);
 
+    /// Opens or moves the link to one more VM; no effect if it is there with this address.
+    /// Precondition: connect() was called; the object uses one I/O thread, which calls this and
+    /// send().
+    void addPeer(const PeerAddress &peer);
+    /// Closes the link to a VM that is gone. Precondition: as addPeer().
+    void removePeer(const VmId &vm);
+
     void send(core::SendToPeer message) override;
 
     /// Connections that are made from now on use it; open ones stay.
--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -24,6 +24,20 @@
     boost::asio::ip::tcp::endpoint address;
 };
 
+/// Settings of a VM that shares upstreams with others through the platform.
+struct FleetSettings
+{
+    boost::asio::ip::tcp::endpoint storeAddress;
+    /// Share of a core; upstreams are divided by it.
+    double weight = 1;
+    /// Wait for the answer of a caller that names none.
+    Duration callerWait = std::chrono::seconds{5};
+    Duration heartbeatInterval = std::chrono::milliseconds{150};
+    /// With the lease of runs it must be over before callers resubmit (1,300 ms).
+    Duration peerSilence = std::chrono::milliseconds{600};
+    Duration stopLimit = std::chrono::milliseconds{4500};
+};
+
 /// The settings of `rattandockd`; docs/settings.md describes each key.
 struct Settings
 {
@@ -47,6 +61,10 @@
     Duration vmListInterval = std::chrono::seconds{1};
     std::vector<UpstreamSettings> upstreams;
     std::vector<core::TeamSpec> teams;
+    /// Present on VMs of a fleet; `upstreams`, `teams` and `peers` come from the platform then.
+    std::optional<FleetSettings> fleet;
+    /// The network between the VMs is closed to others, so links need no TLS.
+    bool peerNetworkIsPrivate = false;
 };
 
 /// Reads settings in JSON with comments. Errors: every finding, each with the file and its JSON
--- a/include/rattandock/app/event_history.hpp
+++ b/include/rattandock/app/event_history.hpp
@@ -3,10 +3,13 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "rattandock/adapters/log.hpp"
 #include "rattandock/adapters/metrics.hpp"
+#include "rattandock/fleet/fleet_action.hpp"
 #include "rattandock/ports/action_ports.hpp"
 
 namespace rattandock::app {
@@ -15,7 +18,8 @@
 struct HistoryEntry
 {
     TimePoint time;
-    core::NoteKind kind{};
+    /// Stable name of what was decided.
+    std::string_view event;
     std::string reason;
     JobId job;
     std::string detail;
@@ -24,7 +28,7 @@
 /// How often a decision was taken for a reason since the start.
 struct DecisionCount
 {
-    core::NoteKind kind{};
+    std::string_view event;
     std::string reason;
     std::uint64_t count = 0;
 };
@@ -38,6 +42,7 @@
     explicit EventHistory(adapters::Metrics &metrics, std::size_t maxEntries = 20'000);
 
     void note(const core::Note &note, TimePoint now) override;
+    void note(const fleet::FleetNote &note, TimePoint now);
 
     /// The kept decisions about a job, oldest first.
     std::vector<HistoryEntry> about(const JobId &job) const;
@@ -48,6 +53,13 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
+    struct Line
+    {
+        adapters::LogLevel level{};
+        adapters::LogPart part{};
+    };
+    void record(std::string_view event, std::string_view reason, const JobId &job,
+                const std::string &detail, Line line, TimePoint now);
     void forgetOldest();
 
     adapters::Metrics &m_metrics;
@@ -57,7 +69,7 @@
     std::uint64_t m_firstNumber = 0;
     /// Numbers of the kept entries of each job, oldest first.
     std::unordered_map<JobId, std::deque<std::uint64_t>> m_numbersOf;
-    std::map<std::pair<core::NoteKind, std::string>, std::uint64_t, std::less<>> m_counts;
+    std::map<std::pair<std::string_view, std::string>, std::uint64_t, std::less<>> m_counts;
 };
 
 } // namespace rattandock::app
--- /dev/null
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/future.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "rattandock/adapters/io_threads.hpp"
+#include "rattandock/app/event_history.hpp"
+#include "rattandock/fleet/fleet_dispatcher.hpp"
+#include "rattandock/ports/action_ports.hpp"
+#include "rattandock/ports/clock.hpp"
+#include "rattandock/ports/event_sink.hpp"
+#include "rattandock/ports/upstream_orders.hpp"
+
+namespace rattandock::app {
+
+/// Drives a FleetDispatcher on one I/O thread: hands it events and the time, and carries out its
+/// actions on fibers of the same thread. On the platform's VMs only one thread runs at a time and
+/// each wake-up costs, so a decision thread of its own would only add work.
+///
+/// Thread safety: all methods are called on the I/O thread, but for post(core::Event).
+class FleetLoop final : public ports::EventSink
+{
+public:
+    using WriteKeepers = std::function<void(const fleet::WriteKeepers &)>;
+
+    /// Precondition: the references outlive the loop.
+    FleetLoop(adapters::IoThreads &threads, const ports::Clock &clock, fleet::FleetOptions options,
+              ports::UpstreamOrders &orders, EventHistory &history);
+
+    /// Sets where actions to peers and to the shared tables go, and starts the timer.
+    /// Call once, on the I/O thread.
+    void start(ports::PeerPort &peers, WriteKeepers writeKeepers);
+
+    void post(fleet::FleetEvent event);
+    /// Events of the peer streams. Thread safety: any thread.
+    void post(core::Event event) override;
+
+    /// Submits a job and suspends the calling fiber until its end. `watchClose` is told what to
+    /// call if the caller leaves; the result is empty then.
+    std::optional<fleet::JobEnd>
+    submit(fleet::FleetJob job,
+           const std::function<void(std::function<void()> onClosed)> &watchClose);
+
+    const fleet::FleetDispatcher &dispatcher() const { return m_dispatcher; }
+    TimePoint now() const { return m_clock.now(); }
+    /// Stops the timer; later events are dropped.
+    void stop();
+
+private:
+    struct Waiter
+    {
+        boost::fibers::promise<std::optional<fleet::JobEnd>> end;
+    };
+
+    void drainEvents();
+    void noticePause(TimePoint now);
+    void armTimer();
+    void carryOut(fleet::FleetActions &actions, TimePoint now);
+    void start(fleet::StartOrder order);
+    void stop(fleet::StopOrder order);
+    void look(fleet::LookOrder order);
+    void finish(CallerRequestId request, std::optional<fleet::JobEnd> end);
+    std::optional<boost::asio::ip::tcp::endpoint> addressOf(const UpstreamId &upstream);
+    void onPeerEvent(core::Event event);
+    void onPeerMessage(const core::PeerMessageReceived &event);
+
+    adapters::IoThreads &m_threads;
+    const ports::Clock &m_clock;
+    fleet::FleetDispatcher m_dispatcher;
+    ports::UpstreamOrders &m_orders;
+    EventHistory &m_history;
+    ports::PeerPort *m_peers = nullptr;
+    WriteKeepers m_writeKeepers;
+    boost::asio::steady_timer m_timer;
+    std::optional<TimePoint> m_armedFor;
+    std::deque<fleet::FleetEvent> m_events;
+    bool m_isHandling = false;
+    bool m_isStopped = false;
+    std::optional<TimePoint> m_lastHandled;
+    Duration m_lastBootTime{};
+    std::unordered_map<CallerRequestId, std::shared_ptr<Waiter>> m_waiters;
+    std::uint64_t m_nextRequest = 1;
+};
+
+} // namespace rattandock::app
--- /dev/null
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+#include <set>
+#include <memory>
+#include <string>
+
+#include "rattandock/adapters/io_threads.hpp"
+#include "rattandock/adapters/metrics.hpp"
+#include "rattandock/app/fleet_loop.hpp"
+#include "rattandock/fleet/fleet_config.hpp"
+#include "rattandock/ports/metadata_store.hpp"
+
+namespace rattandock::app {
+
+/// Formats of the rows that others write into the store.
+struct DirectoryFormat
+{
+    std::string upstreamsTable;
+    std::string operatorTable;
+    std::string configurationKey;
+    std::function<std::optional<fleet::UpstreamEntry>(const std::string &id, std::string_view)>
+            decodeUpstream;
+    std::function<std::optional<fleet::FleetConfig>(std::string_view)> decodeConfiguration;
+};
+
+/// Follows the store's tables on fibers and turns their rows into events: the operator's
+/// configuration, the upstreams, the members and the keepers. Writes this VM's own row.
+///
+/// Thread safety: all methods are called on the I/O thread.
+class FleetSync
+{
+public:
+    using OnConfiguration = std::function<void(fleet::FleetConfig)>;
+    using OnMembers = std::function<void(const std::vector<fleet::MemberRow> &)>;
+
+    /// Precondition: the references outlive the object; start() is called at most once.
+    FleetSync(ports::MetadataStore &store, FleetLoop &loop, DirectoryFormat format,
+              fleet::MemberRow self, boost::asio::io_context &io);
+
+    void start(OnConfiguration onConfiguration, OnMembers onMembers);
+    /// Carries out a write of keepers' rows; KeepersWritten follows.
+    void writeKeepers(const fleet::WriteKeepers &order);
+    /// Ends the fibers; they return after their current call.
+    void stop();
+    std::size_t running() const { return m_running; }
+
+private:
+    /// Follows one table: reads it whole, then its changes; whole again if they are lost.
+    struct Table
+    {
+        std::string name;
+        std::function<ports::ReadResult()> readWhole;
+        std::function<void(const std::vector<ports::StoreRow> &rows, bool isWhole)> take;
+    };
+
+    void spawn(std::function<void()> function);
+    void follow(const Table &table);
+    void beat();
+    /// Suspends the fiber; false when stopping.
+    bool pause(Duration span);
+    ports::ReadResult readKeepers();
+    void takeUpstreams(const std::vector<ports::StoreRow> &rows, bool isWhole);
+    void takeKeepers(const std::vector<ports::StoreRow> &rows, bool isWhole);
+    void takeConfiguration(const std::vector<ports::StoreRow> &rows);
+    void noteStore(const std::string &table, std::optional<ports::StoreFailure> failure);
+
+    ports::MetadataStore &m_store;
+    FleetLoop &m_loop;
+    DirectoryFormat m_format;
+    fleet::MemberRow m_self;
+    boost::asio::io_context &m_io;
+    OnConfiguration m_onConfiguration;
+    OnMembers m_onMembers;
+    std::set<std::string> m_lostTables;
+    std::set<std::string> m_unreadable;
+    std::vector<boost::asio::steady_timer *> m_pauses;
+    std::size_t m_running = 0;
+    bool m_isStopping = false;
+};
+
+} // namespace rattandock::app
--- a/include/rattandock/core/peer_message.hpp
+++ b/include/rattandock/core/peer_message.hpp
@@ -9,10 +9,11 @@
 #include "rattandock/base/ids.hpp"
 #include "rattandock/core/job_outcome.hpp"
 #include "rattandock/core/job_spec.hpp"
+#include "rattandock/fleet/fleet_message.hpp"
 
 namespace rattandock::core {
 
-/// Sent every second to each peer. Size: about 100 B.
+/// Sent to each peer at an interval of the settings. Size: about 150 B.
 struct Heartbeat
 {
     VmId vm;
@@ -24,6 +25,7 @@
     std::uint32_t queuedTasks = 0;
     std::uint32_t runningTasks = 0;
     bool draining = false;
+    fleet::RoomReport room;
 };
 
 /// A submission passed on to the home or holder of its id. Size: the job plus 40 B.
@@ -112,7 +114,9 @@
 };
 
 using PeerMessage = std::variant<Heartbeat, ForwardJob, ForwardedAnswer, SlotRequest, SlotGrant,
-                                 SlotRelease, HandoverRecords, HandoverPointer, ConfigurationDelta>;
+                                 SlotRelease, HandoverRecords, HandoverPointer, ConfigurationDelta,
+                                 fleet::TaskOffer, fleet::TaskOfferEnded,
+                                 fleet::TaskOfferWithdrawn>;
 
 /// The stable name of the message's type, used in metrics and logs.
 std::string_view name(const PeerMessage &message);
--- /dev/null
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -0,0 +1,205 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "rattandock/fleet/admission.hpp"
+#include "rattandock/fleet/fleet_action.hpp"
+#include "rattandock/fleet/fleet_event.hpp"
+#include "rattandock/fleet/fleet_options.hpp"
+#include "rattandock/fleet/run_times.hpp"
+#include "rattandock/fleet/sharing.hpp"
+#include "rattandock/fleet/upstream_watch.hpp"
+
+namespace rattandock::fleet {
+
+/// Counts that a status page shows.
+struct FleetStatus
+{
+    std::size_t keptUpstreams = 0;
+    std::size_t knownUpstreams = 0;
+    std::size_t jobs = 0;
+    std::size_t waitingTasks = 0;
+    std::size_t runs = 0;
+    std::size_t linkedVms = 0;
+    bool stopping = false;
+};
+
+/// Decides for one VM of a fleet that shares upstreams through the platform: which upstreams to
+/// keep, which jobs to take, and where their tasks run.
+///
+/// A deterministic state machine without I/O, clock or threads: the driver calls handle() for each
+/// event in order from one thread, calls handle(TimerDue{}) when nextTimer() is due, and carries
+/// out the appended actions in order. Times must not go back. Thread safety: none.
+class FleetDispatcher
+{
+public:
+    explicit FleetDispatcher(FleetOptions options);
+
+    void handle(const FleetEvent &event, TimePoint now, FleetActions &actions);
+    std::optional<TimePoint> nextTimer() const;
+
+    FleetStatus status() const;
+    /// Room for the next heartbeat to other VMs.
+    RoomReport roomReport(TimePoint now) const;
+    /// True if this VM can take jobs: it keeps upstreams or knows VMs that do.
+    bool canServe() const;
+    /// True when a planned stop has nothing left to wait for.
+    bool isStopped() const;
+    /// Address of a kept upstream; nothing if it is not kept.
+    const UpstreamEntry *keptUpstream(const UpstreamId &id) const;
+
+private:
+    enum class TaskState : std::uint8_t { Waiting, Running, Offered, Done };
+    struct Task
+    {
+        TaskState state = TaskState::Waiting;
+        UpstreamId upstream;
+        std::uint32_t nextRun = 1;
+        std::uint32_t failures = 0;
+        Duration expected{};
+        TimePoint startedAt;
+        bool isOverdue = false;
+        /// A former run may still be at work until then.
+        TimePoint notBefore;
+    };
+    struct OfferOrigin
+    {
+        VmId vm;
+        std::uint64_t number = 0;
+    };
+    using Origin = std::variant<CallerRequestId, OfferOrigin>;
+    struct Job
+    {
+        FleetJob spec;
+        Origin origin;
+        /// Index in `spec` of each task that runs here; an offer may hold only some.
+        std::vector<std::uint32_t> indices;
+        std::vector<Task> tasks;
+        std::size_t waiting = 0;
+        std::size_t done = 0;
+        TimePoint objective;
+        TimePoint deadline;
+        bool hasStarted = false;
+    };
+    struct Offer
+    {
+        VmId vm;
+        JobNumber job;
+        std::vector<std::uint32_t> tasks;
+    };
+    struct Kept
+    {
+        UpstreamLedger ledger;
+        bool isReleasing = false;
+    };
+    struct Listed
+    {
+        UpstreamEntry entry;
+        std::optional<TimePoint> unlistedSince;
+    };
+    using Jobs = std::map<JobNumber, Job>;
+
+    void on(const JobArrived &event, TimePoint now, FleetActions &actions);
+    void on(const CallerGone &event, TimePoint now, FleetActions &actions);
+    void on(const UpstreamsSeen &event, TimePoint now, FleetActions &actions);
+    void on(const MembersRead &event, TimePoint now, FleetActions &actions);
+    void on(const KeepersRead &event, TimePoint now, FleetActions &actions);
+    void on(const KeepersWritten &event, TimePoint now, FleetActions &actions);
+    void on(const StartAnswered &event, TimePoint now, FleetActions &actions);
+    void on(const StopAnswered &event, TimePoint now, FleetActions &actions);
+    void on(const LookAnswered &event, TimePoint now, FleetActions &actions);
+    void on(const LookFailed &event, TimePoint now, FleetActions &actions);
+    void on(const PeerLink &event, TimePoint now, FleetActions &actions);
+    void on(const PeerRoomSeen &event, TimePoint now, FleetActions &actions);
+    void on(const OfferArrived &event, TimePoint now, FleetActions &actions);
+    void on(const OfferEnded &event, TimePoint now, FleetActions &actions);
+    void on(const OfferWithdrawn &event, TimePoint now, FleetActions &actions);
+    void on(const StopRequested &event, TimePoint now, FleetActions &actions);
+    void on(const ProcessPaused &event, TimePoint now, FleetActions &actions);
+    void on(const TimerDue &event, TimePoint now, FleetActions &actions);
+
+    // Upstreams (fleet_dispatcher_upstreams.cpp).
+    void seeUpstream(const UpstreamEntry &entry);
+    void seeKeeper(const KeeperRow &row, TimePoint now, FleetActions &actions);
+    void considerAssignment(TimePoint now, FleetActions &actions);
+    void writeKeepers(const std::vector<UpstreamId> &upstreams, bool claim, TimePoint now,
+                      FleetActions &actions);
+    void dropUpstream(const UpstreamId &id, std::string_view reason, TimePoint now,
+                      FleetActions &actions);
+    void expireUnlisted(TimePoint now, FleetActions &actions);
+    void stepLedgers(TimePoint now, FleetActions &actions);
+    void apply(const UpstreamId &upstream, LedgerOutputs &outputs, TimePoint now,
+               FleetActions &actions);
+    bool mayPlaceOn(const Kept &kept, TimePoint now) const;
+    bool hasLabel(const UpstreamEntry &entry, const FleetJob &job) const;
+    static std::string kindOf(const UpstreamEntry &entry);
+
+    // Runs (fleet_dispatcher_runs.cpp).
+    void runOver(const UpstreamId &upstream, const RunOver &over, TimePoint now,
+                 FleetActions &actions);
+    void runNeverStarted(const UpstreamId &upstream, const RunNeverStarted &run, TimePoint now,
+                         FleetActions &actions);
+    void taskDone(JobNumber number, Job &job, Task &task, FleetActions &actions);
+    void taskWaits(Job &job, Task &task, TimePoint notBefore);
+    void stopOverdue(TimePoint now, FleetActions &actions);
+    void dispatch(TimePoint now, FleetActions &actions);
+    /// Starts what fits of one job. False if room is left for nobody.
+    void dispatchJob(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    bool startHere(JobNumber number, Job &job, std::size_t index, TimePoint now,
+                   FleetActions &actions);
+    void offerWaiting(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    std::vector<JobNumber> waitingInOrder(TimePoint now) const;
+    Duration expectedRun(const FleetJob &job) const;
+
+    // Jobs (fleet_dispatcher_jobs.cpp).
+    JobNumber addJob(FleetJob spec, Origin origin, std::vector<std::uint32_t> indices,
+                     std::uint32_t firstRun, TimePoint now);
+    std::optional<JobTurnedAway> refusalOf(const FleetJob &job, TimePoint now) const;
+    void turnAway(CallerRequestId request, const FleetJob &job, const JobTurnedAway &end,
+                  FleetActions &actions);
+    void endJob(JobNumber number, const JobEnd &end, TimePoint now, FleetActions &actions);
+    void giveUp(JobNumber number, TurnedAway ifUnstarted, BrokenOff ifStarted, TimePoint now,
+                FleetActions &actions);
+    void stopTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    void expireJobs(TimePoint now, FleetActions &actions);
+    void replace(const JobId &id, TimePoint now, FleetActions &actions);
+    CoreWork queuedWork(TimePoint before) const;
+    std::size_t placesFor(const FleetJob &job, TimePoint now) const;
+    std::uint64_t usableCpu(TimePoint now) const;
+
+    FleetOptions m_options;
+    std::map<UpstreamId, Listed> m_listed;
+    std::map<UpstreamId, KeeperRow> m_keepers;
+    std::map<UpstreamId, Kept> m_kept;
+    std::set<ZoneId> m_writing;
+    Membership m_members;
+    std::set<VmId> m_linked;
+    SharedRoom m_shared;
+    RunTimes m_times;
+    UpstreamWatch m_watch;
+    Jobs m_jobs;
+    std::unordered_map<JobId, JobNumber> m_jobOfId;
+    std::unordered_map<CallerRequestId, JobNumber> m_jobOfRequest;
+    std::map<std::pair<VmId, std::uint64_t>, JobNumber> m_jobOfOffer;
+    /// Runs of jobs that have ended, by job id; a resubmission waits for their end.
+    std::unordered_map<std::string, std::size_t> m_endingRuns;
+    std::unordered_map<JobNumber, std::string> m_endedJobs;
+    std::map<std::uint64_t, Offer> m_offers;
+    std::uint64_t m_nextJob = 1;
+    std::uint64_t m_nextOffer = 1;
+    std::optional<TimePoint> m_startedAt;
+    std::optional<TimePoint> m_stopAt;
+    TimePoint m_nextAssignment;
+    TimePoint m_nextHousekeeping = TimePoint::min();
+    /// Set while the runs of an upstream are given up: when they are over there for certain.
+    std::optional<TimePoint> m_runsOverAt;
+    bool m_hasMembers = false;
+    bool m_hasKeepers = false;
+    bool m_hasUpstreams = false;
+};
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "rattandock/fleet/fleet_job.hpp"
+
+namespace rattandock::fleet {
+
+/// Room at the sender, sent with each heartbeat.
+struct RoomReport
+{
+    /// Thousandths of a core that are free, one entry for each upstream with some.
+    std::vector<std::uint32_t> freeCpu;
+    /// Thousandths of a core of all upstreams that take work.
+    std::uint64_t usableCpu = 0;
+    /// Work of the tasks that wait, in thousandths of a core times microseconds.
+    std::uint64_t queuedWork = 0;
+};
+
+/// Asks a VM to run some tasks of a job on its upstreams. One TaskOfferEnded follows, or the link
+/// goes down. Size: the job plus 4 B a task.
+struct TaskOffer
+{
+    /// Chosen by the sender; never reused by a process.
+    std::uint64_t number = 0;
+    /// Spans count from the sending.
+    FleetJob job;
+    std::vector<std::uint32_t> tasks;
+    /// Run number of the first start.
+    std::uint32_t firstRun = 1;
+};
+
+enum class OfferResult : std::uint8_t {
+    /// All tasks are done.
+    Done,
+    /// A task has failed as often as allowed.
+    Failed,
+    /// No task was started, or all that were are over; none will be.
+    NotRun,
+    /// The tasks did not end in time; none runs any more or will.
+    GivenUp,
+};
+inline constexpr std::size_t offerResultCount = 4;
+
+struct TaskOfferEnded
+{
+    std::uint64_t number = 0;
+    OfferResult result{};
+};
+
+/// The sender of the offer needs it no more; its tasks are to be stopped.
+struct TaskOfferWithdrawn
+{
+    std::uint64_t number = 0;
+};
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "rattandock/base/ids.hpp"
+#include "rattandock/base/time.hpp"
+#include "rattandock/fleet/lease_times.hpp"
+
+namespace rattandock::fleet {
+
+using namespace std::chrono_literals;
+
+struct FleetOptions
+{
+    VmId vm;
+    Incarnation incarnation;
+    ZoneId zone;
+    LeaseTimes lease;
+    /// Another VM's row may stay unchanged this long, without a link to it, before its upstreams
+    /// are taken over. Three beats of the rows.
+    Duration memberSilence = 2000ms;
+    /// How often this VM considers which upstreams to take or give up.
+    Duration assignmentInterval = 250ms;
+    /// After the start others are given this long to show up, so that they get their share.
+    Duration settleTime = 1500ms;
+    /// An upstream whose row vanished is still used this long, as rows may lapse while the store
+    /// is away and come back within 2 s (platform's statement).
+    Duration unlistedUse = 2500ms;
+    /// A run that takes this factor of its expected time, and `overdueExtra`, is stopped and
+    /// started elsewhere. Estimates spread by 40%, so 0.5% of sound runs are beyond it.
+    double overdueFactor = 2.5;
+    Duration overdueExtra = 60ms;
+    /// The answer must leave this long before the caller's deadline to arrive in time.
+    Duration answerMargin = 20ms;
+    /// Jobs that wait here, at most.
+    std::size_t maxWaitingJobs = 2000;
+    /// A planned stop breaks off what is not done after this time; below the platform's grace.
+    Duration stopLimit = 4500ms;
+};
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/include/rattandock/fleet/membership.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "rattandock/base/ids.hpp"
+#include "rattandock/base/time.hpp"
+
+namespace rattandock::fleet {
+
+/// What an entry VM writes about itself into the shared table.
+struct MemberRow
+{
+    VmId vm;
+    Incarnation incarnation;
+    ZoneId zone;
+    /// Listener for other VMs, `IP:PORT`.
+    std::string peerAddress;
+    /// Share of a core; upstreams are divided by it.
+    double weight = 1;
+    /// The VM stops and wants no new upstreams.
+    bool draining = false;
+    /// Grows with each write, so that readers see that the VM lives.
+    std::uint64_t beat = 0;
+
+    friend bool operator==(const MemberRow &, const MemberRow &) = default;
+};
+
+/// Who may order an upstream, as written in the shared table.
+struct KeeperRow
+{
+    UpstreamId upstream;
+    /// Part of the table in which the row lies.
+    ZoneId zone;
+    /// Empty if the last keeper gave the upstream up.
+    VmId vm;
+    Incarnation incarnation;
+    /// Grows with each change of the keeper; the high part of its fencing tokens.
+    std::uint64_t epoch = 0;
+    /// Version of the row, for the condition of the next write; 0 if there is no row.
+    std::uint64_t version = 0;
+
+    friend bool operator==(const KeeperRow &, const KeeperRow &) = default;
+};
+
+/// Which of the VMs in the shared table are alive, as seen from one VM.
+///
+/// A VM counts as alive while its row changes or its peer link is up. Only reads that succeeded
+/// count against it, so nobody dies while the store is away. Thread safety: none.
+class Membership
+{
+public:
+    /// `silence`: how long a row may stay unchanged, over successful reads, without a link.
+    explicit Membership(Duration silence)
+        : m_silence(silence)
+    {
+    }
+
+    void see(const MemberRow &row, TimePoint now);
+    /// The row is gone or belongs to another incarnation now.
+    void forgetAllBut(const std::map<VmId, MemberRow> &present);
+    /// All rows were read; rows that did not change since grow older.
+    void readSucceeded(TimePoint now);
+    void readFailed() { m_lastRead.reset(); }
+    void setLink(const VmId &vm, bool up);
+
+    bool isAlive(const VmId &vm, Incarnation incarnation) const;
+    /// Alive members and their rows.
+    std::map<VmId, MemberRow> alive() const;
+    const MemberRow *find(const VmId &vm) const;
+
+private:
+    struct Member
+    {
+        MemberRow row;
+        /// Time without a change, counted over successful reads only.
+        Duration unchanged{};
+        bool linked = false;
+    };
+    bool isAlive(const Member &member) const
+    {
+        return member.linked || member.unchanged < m_silence;
+    }
+
+    Duration m_silence;
+    std::map<VmId, Member> m_members;
+    std::optional<TimePoint> m_lastRead;
+};
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/include/rattandock/fleet/sharing.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "rattandock/base/ids.hpp"
+#include "rattandock/base/time.hpp"
+#include "rattandock/fleet/fleet_message.hpp"
+#include "rattandock/fleet/room.hpp"
+
+namespace rattandock::fleet {
+
+/// Free room at other VMs as they last reported it, less what was offered to them since.
+///
+/// Load pattern: the platform spreads connections unevenly, and jobs of up to 32 tasks arrive at
+/// VMs that keep a seventh of the upstreams. Tasks that find no room here go to the VM with the
+/// most, in the own zone first. Thread safety: none.
+class SharedRoom
+{
+public:
+    explicit SharedRoom(ZoneId zone)
+        : m_zone(std::move(zone))
+    {
+    }
+
+    void report(const VmId &vm, const ZoneId &zone, const RoomReport &room);
+    void forget(const VmId &vm) { m_peers.erase(vm); }
+    /// The peer had no room after all.
+    void clear(const VmId &vm);
+
+    /// Tasks of this size that fit at peers now.
+    std::size_t placesFor(MilliCores cpu) const;
+    std::uint64_t usableCpu() const;
+    double queuedWork() const;
+
+    struct Share
+    {
+        VmId vm;
+        std::size_t tasks = 0;
+    };
+    /// Picks a peer for up to `count` tasks and takes the room; nothing if none has any.
+    std::optional<Share> take(MilliCores cpu, std::size_t count);
+
+private:
+    struct Peer
+    {
+        ZoneId zone;
+        RoomReport room;
+    };
+    static std::size_t places(const Peer &peer, MilliCores cpu);
+
+    ZoneId m_zone;
+    std::map<VmId, Peer> m_peers;
+};
+
+} // namespace rattandock::fleet
--- a/src/rattandock/adapters/base64.cpp
+++ b/src/rattandock/adapters/base64.cpp
@@ -14,4 +14,22 @@
     return text;
 }
 
+std::optional<std::string> fromBase64(std::string_view text)
+{
+    if (text.size() % 4 != 0) {
+        return std::nullopt;
+    }
+    std::string bytes(3 * (text.size() / 4), '\0');
+    const int n = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                  reinterpret_cast<const unsigned char *>(text.data()),
+                                  static_cast<int>(text.size()));
+    if (n < 0) {
+        return std::nullopt;
+    }
+    // OpenSSL counts the padding as bytes.
+    const auto padding = text.ends_with("==") ? 2U : text.ends_with('=') ? 1U : 0U;
+    bytes.resize(static_cast<std::size_t>(n) - padding);
+    return bytes;
+}
+
 } // namespace rattandock::adapters
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -2,6 +2,8 @@
 
 #include "rattandock/core/placement_policy.hpp"
 #include "rattandock/core/reason.hpp"
+#include "rattandock/fleet/fleet_action.hpp"
+#include "rattandock/fleet/submission.hpp"
 
 namespace rattandock::adapters::detail {
 
@@ -12,7 +14,19 @@
 {
     std::vector<std::string_view> names;
     for (std::size_t n = 0; n < count; ++n) {
-        names.push_back(core::name(static_cast<Reason>(n)));
+        names.push_back(name(static_cast<Reason>(n)));
+    }
+    return names;
+}
+
+/// How runs end that are started again, and why orders had no effect.
+std::vector<std::string_view> runRepeats()
+{
+    std::vector<std::string_view> names{"failed", "stopped", "lapsed", "broken", "alone"};
+    for (const std::string_view it : namesOf<fleet::OrderResult>(fleet::orderResultCount)) {
+        if (it != "done") {
+            names.push_back(it);
+        }
     }
     return names;
 }
@@ -55,6 +69,28 @@
             {"unknown_attempt",
              "Ends of attempts that the core does not know.",
              {"unknown-attempt"}},
+            {"fleet_answers", "Answers to callers of a VM of a fleet.",
+             {"completed", "failed", "turned-away", "broken-off", "caller-left"}},
+            {"jobs_unsupported", "Jobs of a kind that is not supported.",
+             namesOf<fleet::Unsupported>(fleet::unsupportedCount)},
+            {"job_turned_away", "Jobs refused before any task started.",
+             namesOf<fleet::TurnedAway>(fleet::turnedAwayCount)},
+            {"job_broken_off", "Jobs without a result whose tasks may have started.",
+             namesOf<fleet::BrokenOff>(fleet::brokenOffCount)},
+            {"job_failed", "Jobs with a task that failed as often as allowed.", {"attempts"}},
+            {"job_completed", "Jobs whose tasks are all done.", {"done"}},
+            {"tasks_offered", "Sets of tasks sent to another VM.", {"no-room-here"}},
+            {"offer_ended", "Sets of tasks that another VM did not run.", {"not-run"}},
+            {"run_repeated", "Runs that are started again, by how they ended.", runRepeats()},
+            {"upstream_claimed", "Upstreams that this VM began to keep.", {"claimed"}},
+            {"upstream_released", "Upstreams given up for other VMs.", {"released"}},
+            {"upstream_lost", "Upstreams lost while they ran tasks.",
+             {"unlisted", "other-keeper", "released", "fenced", "other-incarnation"}},
+            {"upstream_gone", "Upstreams that left the list.", {"unlisted"}},
+            {"upstream_set_aside", "Upstreams that get no work for a while.",
+             {"failures", "overdue", "unhealthy"}},
+            {"peer_link", "Changes of links to other VMs.", {"up", "down"}},
+            {"paused", "Times that the process stood still.", {"paused"}},
             {"configuration_in_force", "Configurations that came into force.", {"accepted"}},
     };
 }
@@ -68,6 +104,8 @@
             {"caller_connections", "Open connections of the caller listener."},
             {"operator_connections", "Open connections of the operator listener."},
             {"decision_busy_share", "Share of the last second that the decision thread worked."},
+            {"kept_upstreams", "Upstreams that this VM keeps."},
+            {"linked_vms", "Other VMs with a link that is up."},
             {"resident_memory_bytes", "Resident memory of the process."},
     };
 }
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -19,9 +19,53 @@
 auto fields(T &it)
 {
     auto &[vm, incarnation, zone, monotonicTime, configuration, queuedTasks, runningTasks,
-           draining] = it;
+           draining, room] = it;
     return std::tie(vm, incarnation, zone, monotonicTime, configuration, queuedTasks, runningTasks,
-                    draining);
+                    draining, room);
+}
+
+template <Is<fleet::RoomReport> T>
+auto fields(T &it)
+{
+    auto &[freeCpu, usableCpu, queuedWork] = it;
+    return std::tie(freeCpu, usableCpu, queuedWork);
+}
+
+template <Is<fleet::Room> T>
+auto fields(T &it)
+{
+    auto &[cpu, memory, accelerators] = it;
+    return std::tie(cpu, memory, accelerators);
+}
+
+template <Is<fleet::FleetJob> T>
+auto fields(T &it)
+{
+    auto &[id, queue, service, payload, taskCount, need, estimate, requiredLabel, preferredRack,
+           maxPerUpstream, deadline, objective, maxAttempts, priority] = it;
+    return std::tie(id, queue, service, payload, taskCount, need, estimate, requiredLabel,
+                    preferredRack, maxPerUpstream, deadline, objective, maxAttempts, priority);
+}
+
+template <Is<fleet::TaskOffer> T>
+auto fields(T &it)
+{
+    auto &[number, job, tasks, firstRun] = it;
+    return std::tie(number, job, tasks, firstRun);
+}
+
+template <Is<fleet::TaskOfferEnded> T>
+auto fields(T &it)
+{
+    auto &[number, result] = it;
+    return std::tie(number, result);
+}
+
+template <Is<fleet::TaskOfferWithdrawn> T>
+auto fields(T &it)
+{
+    auto &[number] = it;
+    return std::tie(number);
 }
 
 template <Is<core::Resources> T>
@@ -143,5 +187,7 @@
 inline constexpr std::size_t enumeratorCount<core::FailureReason> = core::failureReasonCount;
 template <>
 inline constexpr std::size_t enumeratorCount<core::UnknownReason> = core::unknownReasonCount;
+template <>
+inline constexpr std::size_t enumeratorCount<fleet::OfferResult> = fleet::offerResultCount;
 
 } // namespace rattandock::adapters::detail
--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -1,10 +1,13 @@
 #include "rattandock/adapters/http_server.hpp"
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <boost/asio/ip/v6_only.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <future>
 #include <list>
 #include <optional>
@@ -122,6 +125,45 @@
     bool expired = false;
 };
 
+/// Sees the end of a connection while its request is being handled. Used on one thread.
+struct CloseWatch : std::enable_shared_from_this<CloseWatch>
+{
+    explicit CloseWatch(tcp::socket &of)
+        : socket(&of)
+    {
+    }
+
+    void arm(std::function<void()> onClosed)
+    {
+        isArmed = true;
+        socket->async_wait(tcp::socket::wait_read,
+                           [self = shared_from_this(),
+                            call = std::move(onClosed)](const beast::error_code &ec) {
+                               if (!ec && self->socket != nullptr && self->isClosed()) {
+                                   call();
+                               }
+                           });
+    }
+    /// Bytes of a next request are no end.
+    bool isClosed() const
+    {
+        char byte = 0;
+        const auto n = ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+    void disarm()
+    {
+        if (isArmed) {
+            beast::error_code ec;
+            socket->cancel(ec);
+        }
+        socket = nullptr;
+    }
+
+    tcp::socket *socket;
+    bool isArmed = false;
+};
+
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
@@ -284,7 +326,13 @@
     const bool keepAlive = parser.get().keep_alive();
     const bool isHead = parser.get().method() == http::verb::head;
     stream.expires_never();
-    HttpResponse served = handler(toRequest(parser.release()));
+    HttpRequest request = toRequest(parser.release());
+    const auto watch = std::make_shared<CloseWatch>(stream.socket());
+    request.watchClose = [watch](std::function<void()> onClosed) {
+        watch->arm(std::move(onClosed));
+    };
+    HttpResponse served = handler(request);
+    watch->disarm();
     if (served.resetConnection) {
         // A linger time of zero makes close() send a reset.
         beast::error_code ec;
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -113,6 +113,25 @@
     return listOf([] { return core::SlotEntry{UpstreamId{text()}, shortNumber(), number()}; });
 }
 
+fleet::FleetJob fleetJob()
+{
+    return {JobId{text()},
+            fleet::QueueId{text()},
+            fleet::ServiceId{text()},
+            text(),
+            shortNumber(),
+            {fleet::MilliCores{shortNumber()}, Megabytes{shortNumber()},
+             Accelerators{shortNumber()}},
+            duration(),
+            text(),
+            RackId{text()},
+            shortNumber(),
+            duration(),
+            duration(),
+            shortNumber(),
+            shortNumber()};
+}
+
 core::PeerMessage messageOfType(std::size_t type)
 {
     switch (type) {
@@ -124,7 +143,8 @@
                                ConfigurationVersion{number()},
                                shortNumber(),
                                shortNumber(),
-                               below(2) == 1};
+                               below(2) == 1,
+                               {listOf(shortNumber), number(), number()}};
     case 1:
         return core::ForwardJob{number(), Incarnation{number()}, job()};
     case 2:
@@ -154,18 +174,26 @@
                 below(2) == 1};
     case 7:
         return core::HandoverPointer{Incarnation{number()}, VmId{text()}};
-    default:
+    case 8:
         return core::ConfigurationDelta{ConfigurationVersion{number()}, text()};
+    case 9:
+        return fleet::TaskOffer{number(), fleetJob(), listOf(shortNumber), shortNumber()};
+    case 10:
+        return fleet::TaskOfferEnded{
+                number(), static_cast<fleet::OfferResult>(below(fleet::offerResultCount))};
+    default:
+        return fleet::TaskOfferWithdrawn{number()};
     }
 }
 
 // Compares field by field without the codec's own table, so that a field missing there is seen.
 bool same(const core::Heartbeat &a, const core::Heartbeat &b)
 {
-    const auto &[vm, incarnation, zone, time, configuration, queued, running, draining] = a;
+    const auto &[vm, incarnation, zone, time, configuration, queued, running, draining, room] = a;
     return vm == b.vm && incarnation == b.incarnation && zone == b.zone && time == b.monotonicTime
            && configuration == b.configuration && queued == b.queuedTasks
-           && running == b.runningTasks && draining == b.draining;
+           && running == b.runningTasks && draining == b.draining && room.freeCpu == b.room.freeCpu
+           && room.usableCpu == b.room.usableCpu && room.queuedWork == b.room.queuedWork;
 }
 
 bool same(const core::ForwardJob &a, const core::ForwardJob &b)
@@ -218,6 +246,24 @@
     return version == b.version && changes == b.changes;
 }
 
+bool same(const fleet::TaskOffer &a, const fleet::TaskOffer &b)
+{
+    const auto &[number, job, tasks, firstRun] = a;
+    return number == b.number && job == b.job && tasks == b.tasks && firstRun == b.firstRun;
+}
+
+bool same(const fleet::TaskOfferEnded &a, const fleet::TaskOfferEnded &b)
+{
+    const auto &[number, result] = a;
+    return number == b.number && result == b.result;
+}
+
+bool same(const fleet::TaskOfferWithdrawn &a, const fleet::TaskOfferWithdrawn &b)
+{
+    const auto &[number] = a;
+    return number == b.number;
+}
+
 bool same(const core::PeerMessage &a, const core::PeerMessage &b)
 {
     return a.index() == b.index()
@@ -319,7 +365,7 @@
 BOOST_AUTO_TEST_CASE(refusesAWrongHeader)
 {
     BOOST_TEST(refusalOf(changed(0, 'X')) == "wrong-magic");
-    BOOST_TEST(refusalOf(changed(4, 2)) == "wrong-version");
+    BOOST_TEST(refusalOf(changed(4, 3)) == "wrong-version");
     BOOST_TEST(refusalOf(changed(6, 0)) == "unknown-type");
     BOOST_TEST(refusalOf(changed(6, 10)) == "unknown-type");
     BOOST_TEST(refusalOf(changed(7, 0)) == "wrong-origin");
@@ -370,7 +416,7 @@
 BOOST_AUTO_TEST_CASE(refusesAHeartbeatOfAnotherOrigin)
 {
     std::string bytes = encoded(
-            core::Heartbeat{VmId{"vm-1"}, Incarnation{77}, ZoneId{"z"}, 0, {}, 0, 0, false});
+            core::Heartbeat{VmId{"vm-1"}, Incarnation{77}, ZoneId{"z"}, 0, {}, 0, 0, false, {}});
     bytes.at(20 + 3) = '2';
     BOOST_TEST(refusalOf(bytes) == "wrong-origin");
 }
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -43,6 +43,7 @@
     {
         std::size_t thread = 0;
         PeerLink *link = nullptr;
+        tcp::endpoint address;
     };
 
     State(IoThreads &owner, PeerStreamsOptions with, ports::EventSink &sink, Metrics &counters,
@@ -81,6 +82,7 @@
     }
     /// Runs the function as a fiber that stop() waits for.
     void spawnCounted(std::size_t thread, std::function<void()> function);
+    std::unique_ptr<PeerLink> makeLink(std::size_t thread, const PeerAddress &peer);
     void acceptLoop();
     void serve(std::size_t thread, tcp::socket socket);
     bool receive(std::size_t thread, PeerConnection &from, VmId &sender, std::string_view bytes);
@@ -100,6 +102,18 @@
     });
 }
 
+std::unique_ptr<PeerLink> PeerStreams::State::makeLink(std::size_t thread, const PeerAddress &peer)
+{
+    return std::make_unique<PeerLink>(
+            threads.io(thread), peer, options, events, metrics,
+            [this, thread, vm = peer.vm] {
+                if (const auto it = places.find(vm); it != places.end()) {
+                    requestHeartbeat(thread, it->second.link);
+                }
+            },
+            [this] { return currentTls(); });
+}
+
 void PeerStreams::State::acceptLoop()
 {
     std::size_t next = 0;
@@ -288,14 +302,8 @@
     for (std::size_t n = 0; n < peers.size(); ++n) {
         const std::size_t thread = n % state->threads.count();
         auto &links = state->perThread[thread]->links;
-        const std::size_t index = links.size();
-        links.push_back(std::make_unique<PeerLink>(
-                state->threads.io(thread), peers[n], state->options, state->events, state->metrics,
-                [state, thread, index] {
-                    state->requestHeartbeat(thread, state->perThread[thread]->links[index].get());
-                },
-                [state] { return state->currentTls(); }));
-        state->places[peers[n].vm] = {thread, links.back().get()};
+        links.push_back(state->makeLink(thread, peers[n]));
+        state->places[peers[n].vm] = {thread, links.back().get(), peers[n].address};
     }
     for (std::size_t n = 0; n < state->threads.count(); ++n) {
         state->spawnCounted(n, [state, n, peers] {
@@ -311,6 +319,38 @@
     }
 }
 
+void PeerStreams::addPeer(const PeerAddress &peer)
+{
+    State *const state = m_state.get();
+    if (const auto known = state->places.find(peer.vm); known != state->places.end()) {
+        if (known->second.address == peer.address) {
+            return;
+        }
+        removePeer(peer.vm);
+    }
+    State::PerThread &here = *state->perThread[0];
+    here.knownVms.insert(peer.vm);
+    here.links.push_back(state->makeLink(0, peer));
+    PeerLink *const link = here.links.back().get();
+    state->places[peer.vm] = {0, link, peer.address};
+    state->spawnCounted(0, [state, link] {
+        link->run();
+        std::erase_if(state->perThread[0]->links,
+                      [link](const auto &it) { return it.get() == link; });
+    });
+}
+
+void PeerStreams::removePeer(const VmId &vm)
+{
+    const auto known = m_state->places.find(vm);
+    if (known == m_state->places.end()) {
+        return;
+    }
+    m_state->perThread[0]->knownVms.erase(vm);
+    known->second.link->stop();
+    m_state->places.erase(known);
+}
+
 void PeerStreams::send(core::SendToPeer message)
 {
     const auto place = m_state->places.find(message.peer);
@@ -318,12 +358,16 @@
         m_state->metrics.count("peer_messages_dropped", "unknown-vm");
         return;
     }
-    const auto [thread, link] = place->second;
-    asio::post(m_state->threads.io(thread),
-               [weak = m_state->weak_from_this(), to = link, sent = std::move(message.message)] {
+    asio::post(m_state->threads.io(place->second.thread),
+               [weak = m_state->weak_from_this(), vm = std::move(message.peer),
+                sent = std::move(message.message)] {
                    const auto state = weak.lock();
-                   if (state && !state->stopping) {
-                       to->send(sent);
+                   if (!state || state->stopping) {
+                       return;
+                   }
+                   // The link may have been removed meanwhile.
+                   if (const auto it = state->places.find(vm); it != state->places.end()) {
+                       it->second.link->send(sent);
                    }
                });
 }
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -225,6 +225,9 @@
     if (reader.text("peerAddress", 1, 64)) {
         readAddress(reader, "peerAddress", settings.peerAddress.emplace());
     }
+    if (const auto isPrivate = reader.boolean("peerNetworkIsPrivate")) {
+        settings.peerNetworkIsPrivate = *isPrivate;
+    }
     reader.child("peerTls", [&](JsonObjectReader &tls) { settings.peerTls = readPeerTls(tls); });
     auto bytes = static_cast<std::int64_t>(settings.peerStreams.sendQueue.value());
     readInteger(reader, "peerSendQueueBytes", maxPeerMessageBytes, 1LL << 32U, bytes);
@@ -241,6 +244,20 @@
     }
 }
 
+FleetSettings readFleet(JsonObjectReader &reader)
+{
+    FleetSettings fleet;
+    readAddress(reader, "storeAddress", fleet.storeAddress);
+    if (const auto weight = reader.number("weight", 0.01, 256)) {
+        fleet.weight = *weight;
+    }
+    readMilliseconds(reader, "callerWaitMs", 100, maxHourMs, fleet.callerWait);
+    readMilliseconds(reader, "heartbeatIntervalMs", 10, 60'000, fleet.heartbeatInterval);
+    readMilliseconds(reader, "peerSilenceMs", 100, 60'000, fleet.peerSilence);
+    readMilliseconds(reader, "stopLimitMs", 0, maxHourMs, fleet.stopLimit);
+    return fleet;
+}
+
 void reportDoubledPeers(const Settings &settings, Findings &findings)
 {
     std::set<VmId> vms;
@@ -259,7 +276,7 @@
 /// Without TLS anyone who reaches the listener could speak as a peer.
 void reportOpenPeerAddresses(const Settings &settings, Findings &findings)
 {
-    if (settings.peerTls) {
+    if (settings.peerTls || settings.peerNetworkIsPrivate) {
         return;
     }
     constexpr auto message = "must be a loopback address without peerTls";
@@ -293,6 +310,12 @@
                    [&](JsonObjectReader &item) { settings.teams.push_back(readTeam(item)); });
     readPlatform(reader, settings);
     readPeers(reader, settings);
+    reader.child("fleet", [&](JsonObjectReader &item) {
+        settings.fleet = readFleet(item);
+        if (!settings.peerAddress) {
+            item.report("storeAddress", "needs peerAddress");
+        }
+    });
 }
 
 } // namespace
@@ -335,6 +358,7 @@
     add("upstreams[].", [](JsonObjectReader &reader) { readUpstream(reader, {}); });
     add("peers[].", [](JsonObjectReader &reader) { readPeer(reader, {}); });
     add("peerTls.", [](JsonObjectReader &reader) { readPeerTls(reader); });
+    add("fleet.", [](JsonObjectReader &reader) { readFleet(reader); });
     add("teams[].", [](JsonObjectReader &reader) { readTeam(reader); });
     return keys;
 }
--- a/src/rattandock/app/event_history.cpp
+++ b/src/rattandock/app/event_history.cpp
@@ -48,18 +48,49 @@
     }
 }
 
-/// Name of the counter of a kind: its stable name with underscores.
-std::string_view counterOf(core::NoteKind kind)
+LogPart partOf(fleet::FleetNoteKind kind)
 {
-    static const auto names = [] {
-        std::array<std::string, core::noteKindCount> all;
-        for (std::size_t n = 0; n < all.size(); ++n) {
-            all.at(n) = name(static_cast<core::NoteKind>(n));
-            std::ranges::replace(all.at(n), '-', '_');
-        }
-        return all;
-    }();
-    return names.at(static_cast<std::size_t>(kind));
+    switch (kind) {
+    case fleet::FleetNoteKind::UpstreamClaimed:
+    case fleet::FleetNoteKind::UpstreamReleased:
+    case fleet::FleetNoteKind::UpstreamLost:
+    case fleet::FleetNoteKind::UpstreamGone:
+    case fleet::FleetNoteKind::UpstreamSetAside:
+    case fleet::FleetNoteKind::UpstreamRestored:
+        return LogPart::Upstream;
+    case fleet::FleetNoteKind::PeerLink:
+        return LogPart::Peer;
+    default:
+        return LogPart::Dispatch;
+    }
+}
+
+LogLevel levelOf(fleet::FleetNoteKind kind)
+{
+    switch (kind) {
+    case fleet::FleetNoteKind::JobCompleted:
+    case fleet::FleetNoteKind::TasksOffered:
+    case fleet::FleetNoteKind::RunEnded:
+        return LogLevel::Debug;
+    case fleet::FleetNoteKind::UpstreamLost:
+    case fleet::FleetNoteKind::UpstreamSetAside:
+    case fleet::FleetNoteKind::Paused:
+        return LogLevel::Warn;
+    default:
+        return LogLevel::Info;
+    }
+}
+
+/// Name of the counter of a decision: its stable name with underscores.
+const std::string &counterOf(std::string_view event)
+{
+    thread_local std::unordered_map<std::string_view, std::string> names;
+    std::string &found = names[event];
+    if (found.empty()) {
+        found = event;
+        std::ranges::replace(found, '-', '_');
+    }
+    return found;
 }
 
 } // namespace
@@ -72,20 +103,33 @@
 
 void EventHistory::note(const core::Note &note, TimePoint now)
 {
-    m_metrics.count(counterOf(note.kind), note.reason);
-    ++m_counts[{note.kind, std::string{note.reason}}];
-    if (isLogged(levelOf(note.kind))) {
-        std::string sentence{name(note.kind)};
-        sentence += " reason=" + std::string{note.reason};
-        if (!note.detail.empty()) {
-            sentence += " (" + note.detail + ')';
+    record(name(note.kind), note.reason, note.job, note.detail,
+           {levelOf(note.kind), partOf(note.kind)}, now);
+}
+
+void EventHistory::note(const fleet::FleetNote &note, TimePoint now)
+{
+    record(name(note.kind), note.reason, note.job, note.detail,
+           {levelOf(note.kind), partOf(note.kind)}, now);
+}
+
+void EventHistory::record(std::string_view event, std::string_view reason, const JobId &job,
+                          const std::string &detail, Line line, TimePoint now)
+{
+    m_metrics.count(counterOf(event), reason);
+    ++m_counts[{event, std::string{reason}}];
+    if (isLogged(line.level)) {
+        std::string sentence{event};
+        sentence += " reason=" + std::string{reason};
+        if (!detail.empty()) {
+            sentence += " (" + detail + ')';
         }
-        log(levelOf(note.kind), partOf(note.kind), sentence, note.job.value());
+        log(line.level, line.part, sentence, job.value());
     }
-    if (!note.job.value().empty()) {
-        m_numbersOf[note.job].push_back(m_firstNumber + m_entries.size());
+    if (!job.value().empty()) {
+        m_numbersOf[job].push_back(m_firstNumber + m_entries.size());
     }
-    m_entries.push_back({now, note.kind, std::string{note.reason}, note.job, note.detail});
+    m_entries.push_back({now, event, std::string{reason}, job, detail});
     if (m_entries.size() > m_maxEntries) {
         forgetOldest();
     }
--- /dev/null
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -0,0 +1,247 @@
+#include "rattandock/app/fleet_loop.hpp"
+
+#include <time.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+#include "rattandock/adapters/http_client.hpp"
+#include "rattandock/base/overloaded.hpp"
+
+namespace rattandock::app {
+
+namespace {
+
+/// A gap between two events of this length means that the process or the VM stood still: the
+/// dispatcher's own timers come four times a second. Above it the leases of running tasks (600 ms)
+/// are over, and callers begin to come back elsewhere (1,300 ms).
+constexpr Duration pauseLimit = std::chrono::milliseconds{1000};
+
+/// Goes on while the VM is suspended, unlike the steady clock.
+Duration bootTime()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds{now.tv_sec}
+                                                + std::chrono::nanoseconds{now.tv_nsec});
+}
+
+} // namespace
+
+FleetLoop::FleetLoop(adapters::IoThreads &threads, const ports::Clock &clock,
+                     fleet::FleetOptions options, ports::UpstreamOrders &orders,
+                     EventHistory &history)
+    : m_threads(threads)
+    , m_clock(clock)
+    , m_dispatcher(std::move(options))
+    , m_orders(orders)
+    , m_history(history)
+    , m_timer(threads.io(0))
+{
+}
+
+void FleetLoop::start(ports::PeerPort &peers, WriteKeepers writeKeepers)
+{
+    m_peers = &peers;
+    m_writeKeepers = std::move(writeKeepers);
+    post(fleet::TimerDue{});
+}
+
+void FleetLoop::stop()
+{
+    m_isStopped = true;
+    m_timer.cancel();
+    while (!m_waiters.empty()) {
+        finish(m_waiters.begin()->first, fleet::JobBrokenOff{fleet::BrokenOff::Stopping});
+    }
+}
+
+void FleetLoop::post(fleet::FleetEvent event)
+{
+    m_events.push_back(std::move(event));
+    // Actions may post; their events are handled after the current one.
+    if (!m_isHandling) {
+        drainEvents();
+    }
+}
+
+void FleetLoop::drainEvents()
+{
+    m_isHandling = true;
+    fleet::FleetActions actions;
+    while (!m_events.empty() && !m_isStopped) {
+        const TimePoint now = m_clock.now();
+        noticePause(now);
+        const fleet::FleetEvent event = std::move(m_events.front());
+        m_events.pop_front();
+        m_dispatcher.handle(event, now, actions);
+        carryOut(actions, now);
+        actions.clear();
+    }
+    m_isHandling = false;
+    armTimer();
+}
+
+void FleetLoop::noticePause(TimePoint now)
+{
+    const Duration boot = bootTime();
+    if (m_lastHandled) {
+        const Duration gap = std::max(now - *m_lastHandled, boot - m_lastBootTime);
+        if (gap >= pauseLimit) {
+            fleet::FleetActions actions;
+            m_dispatcher.handle(fleet::ProcessPaused{gap}, now, actions);
+            carryOut(actions, now);
+        }
+    }
+    m_lastHandled = now;
+    m_lastBootTime = boot;
+}
+
+void FleetLoop::armTimer()
+{
+    const auto next = m_dispatcher.nextTimer();
+    if (m_isStopped || !next || (m_armedFor && *m_armedFor <= *next)) {
+        return;
+    }
+    m_armedFor = *next;
+    m_timer.expires_after(std::max(*next - m_clock.now(), Duration{}));
+    m_timer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec) {
+            m_armedFor.reset();
+            post(fleet::TimerDue{});
+        }
+    });
+}
+
+void FleetLoop::carryOut(fleet::FleetActions &actions, TimePoint now)
+{
+    for (fleet::FleetAction &action : actions) {
+        std::visit(Overloaded{[&](fleet::StartOrder &it) { start(std::move(it)); },
+                              [&](fleet::LookOrder &it) { look(std::move(it)); },
+                              [&](fleet::StopOrder &it) { stop(std::move(it)); },
+                              [&](fleet::AnswerJob &it) { finish(it.request, it.end); },
+                              [&](fleet::SendToVm &it) {
+                                  std::visit(
+                                          [&](auto &message) {
+                                              m_peers->send({it.vm, std::move(message)});
+                                          },
+                                          it.message);
+                              },
+                              [&](fleet::WriteKeepers &it) { m_writeKeepers(it); },
+                              [&](fleet::FleetNote &it) { m_history.note(it, now); }},
+                   action);
+    }
+}
+
+std::optional<boost::asio::ip::tcp::endpoint> FleetLoop::addressOf(const UpstreamId &upstream)
+{
+    const fleet::UpstreamEntry *const entry = m_dispatcher.keptUpstream(upstream);
+    return entry == nullptr ? std::nullopt : adapters::parseEndpoint(entry->address);
+}
+
+void FleetLoop::start(fleet::StartOrder order)
+{
+    const auto address = addressOf(order.upstream);
+    if (!address) {
+        return post(fleet::StartAnswered{order.upstream, order.name, order.number,
+                                         fleet::OrderResult::NotSent, std::nullopt});
+    }
+    adapters::spawnFiber([this, address, order = std::move(order)] {
+        const ports::StartReply reply = m_orders.start(*address, order);
+        post(fleet::StartAnswered{order.upstream, order.name, order.number, reply.result,
+                                  reply.clock});
+    });
+}
+
+void FleetLoop::stop(fleet::StopOrder order)
+{
+    const auto address = addressOf(order.upstream);
+    if (!address) {
+        return;
+    }
+    adapters::spawnFiber([this, address, order = std::move(order)] {
+        const fleet::OrderResult result = m_orders.stop(*address, order);
+        post(fleet::StopAnswered{order.upstream, order.name, order.number, result});
+    });
+}
+
+void FleetLoop::look(fleet::LookOrder order)
+{
+    const auto address = addressOf(order.upstream);
+    if (!address) {
+        return post(fleet::LookFailed{order.upstream, order.number, fleet::OrderResult::NotSent});
+    }
+    adapters::spawnFiber([this, address, order = std::move(order)] {
+        ports::LookReply reply = m_orders.look(*address, order);
+        if (auto *const report = std::get_if<fleet::RunReport>(&reply)) {
+            post(fleet::LookAnswered{order.upstream, order.number, std::move(*report)});
+        } else {
+            post(fleet::LookFailed{order.upstream, order.number,
+                                   std::get<fleet::OrderResult>(reply)});
+        }
+    });
+}
+
+std::optional<fleet::JobEnd>
+FleetLoop::submit(fleet::FleetJob job,
+                  const std::function<void(std::function<void()> onClosed)> &watchClose)
+{
+    const CallerRequestId request{m_nextRequest++};
+    const auto waiter = std::make_shared<Waiter>();
+    m_waiters.emplace(request, waiter);
+    auto end = waiter->end.get_future();
+    watchClose([this, request] {
+        post(fleet::CallerGone{request});
+        finish(request, std::nullopt);
+    });
+    post(fleet::JobArrived{request, std::move(job)});
+    return end.get();
+}
+
+void FleetLoop::finish(CallerRequestId request, std::optional<fleet::JobEnd> end)
+{
+    const auto it = m_waiters.find(request);
+    if (it == m_waiters.end()) {
+        return;
+    }
+    const auto waiter = std::move(it->second);
+    m_waiters.erase(it);
+    waiter->end.set_value(end);
+}
+
+void FleetLoop::post(core::Event event)
+{
+    boost::asio::post(m_threads.io(0), [this, event = std::move(event)]() mutable {
+        onPeerEvent(std::move(event));
+    });
+}
+
+void FleetLoop::onPeerEvent(core::Event event)
+{
+    std::visit(Overloaded{[&](const core::PeerMessageReceived &it) { onPeerMessage(it); },
+                          [&](const core::PeerLinkChanged &it) {
+                              post(fleet::PeerLink{it.peer, it.up});
+                          },
+                          [](const auto &) {}},
+               event);
+}
+
+void FleetLoop::onPeerMessage(const core::PeerMessageReceived &event)
+{
+    std::visit(Overloaded{[&](const core::Heartbeat &it) {
+                              post(fleet::PeerRoomSeen{event.from, it.zone, it.draining, it.room});
+                          },
+                          [&](const fleet::TaskOffer &it) {
+                              post(fleet::OfferArrived{event.from, it});
+                          },
+                          [&](const fleet::TaskOfferEnded &it) {
+                              post(fleet::OfferEnded{event.from, it});
+                          },
+                          [&](const fleet::TaskOfferWithdrawn &it) {
+                              post(fleet::OfferWithdrawn{event.from, it});
+                          },
+                          [](const auto &) {}},
+               event.message);
+}
+
+} // namespace rattandock::app
--- /dev/null
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -0,0 +1,274 @@
+#include "rattandock/app/fleet_sync.hpp"
+
+#include <algorithm>
+
+#include "rattandock/adapters/fleet_rows_json.hpp"
+#include "rattandock/adapters/io_wait.hpp"
+#include "rattandock/adapters/log.hpp"
+#include "rattandock/base/overloaded.hpp"
+
+namespace rattandock::app {
+
+using adapters::LogLevel;
+using adapters::LogPart;
+using ports::StoreFailure;
+using ports::StoreRow;
+using ports::StoreRows;
+
+namespace {
+
+const std::string membersTable = "members";
+const std::string keepersTable = "keepers";
+
+/// How often a VM writes its row and reads those of the others. Three beats make a VM's silence;
+/// each costs two of the store's calls.
+constexpr Duration beatInterval = std::chrono::milliseconds{700};
+/// Wait of a call for changes. A connection that went silent shows after it, and a configuration
+/// must be in force after 2 s.
+constexpr Duration changesWait = std::chrono::milliseconds{1500};
+/// Pause after a failed call.
+constexpr Duration retryPause = std::chrono::milliseconds{250};
+
+} // namespace
+
+FleetSync::FleetSync(ports::MetadataStore &store, FleetLoop &loop, DirectoryFormat format,
+                     fleet::MemberRow self, boost::asio::io_context &io)
+    : m_store(store)
+    , m_loop(loop)
+    , m_format(std::move(format))
+    , m_self(std::move(self))
+    , m_io(io)
+{
+}
+
+void FleetSync::start(OnConfiguration onConfiguration, OnMembers onMembers)
+{
+    m_onConfiguration = std::move(onConfiguration);
+    m_onMembers = std::move(onMembers);
+    spawn([this] { beat(); });
+    spawn([this] {
+        follow({m_format.operatorTable, [this] { return m_store.read(m_format.operatorTable, ""); },
+                [this](const auto &rows, bool) { takeConfiguration(rows); }});
+    });
+    spawn([this] {
+        follow({m_format.upstreamsTable,
+                [this] { return m_store.read(m_format.upstreamsTable, ""); },
+                [this](const auto &rows, bool isWhole) { takeUpstreams(rows, isWhole); }});
+    });
+    spawn([this] {
+        follow({keepersTable, [this] { return readKeepers(); },
+                [this](const auto &rows, bool isWhole) { takeKeepers(rows, isWhole); }});
+    });
+}
+
+void FleetSync::spawn(std::function<void()> function)
+{
+    ++m_running;
+    adapters::spawnFiber([this, function = std::move(function)] {
+        function();
+        --m_running;
+    });
+}
+
+void FleetSync::stop()
+{
+    m_isStopping = true;
+    for (boost::asio::steady_timer *const it : m_pauses) {
+        it->cancel();
+    }
+}
+
+bool FleetSync::pause(Duration span)
+{
+    if (m_isStopping) {
+        return false;
+    }
+    boost::asio::steady_timer timer{m_io, span};
+    m_pauses.push_back(&timer);
+    adapters::awaitIo([&timer](auto handle) { timer.async_wait(handle); });
+    std::erase(m_pauses, &timer);
+    return !m_isStopping;
+}
+
+void FleetSync::noteStore(const std::string &table, std::optional<StoreFailure> failure)
+{
+    if (failure && m_lostTables.insert(table).second) {
+        log(LogLevel::Warn, LogPart::Platform,
+            "store lost table=" + table + " reason=" + std::string{name(*failure)});
+    } else if (!failure && m_lostTables.erase(table) > 0) {
+        log(LogLevel::Info, LogPart::Platform, "store regained table=" + table);
+    }
+}
+
+void FleetSync::follow(const Table &table)
+{
+    std::uint64_t version = 0;
+    bool readsWhole = true;
+    while (!m_isStopping) {
+        const ports::ReadResult result =
+                readsWhole ? table.readWhole() : m_store.changes(table.name, version, changesWait);
+        if (const auto *const failure = std::get_if<StoreFailure>(&result)) {
+            if (*failure == StoreFailure::HistoryGone) {
+                log(LogLevel::Info, LogPart::Platform,
+                    "store history gone, reads again table=" + table.name);
+                readsWhole = true;
+                continue;
+            }
+            noteStore(table.name, *failure);
+            pause(retryPause);
+            continue;
+        }
+        noteStore(table.name, std::nullopt);
+        const StoreRows &rows = std::get<StoreRows>(result);
+        version = rows.version;
+        if (readsWhole || !rows.rows.empty()) {
+            table.take(rows.rows, readsWhole);
+        }
+        readsWhole = false;
+    }
+}
+
+void FleetSync::beat()
+{
+    while (!m_isStopping) {
+        ++m_self.beat;
+        m_self.draining = m_loop.dispatcher().status().stopping;
+        const ports::WriteResult written = m_store.write({{membersTable, "", m_self.vm.value(),
+                                                           adapters::encodeMember(m_self),
+                                                           std::nullopt}});
+        const auto *const writeFailure = std::get_if<StoreFailure>(&written);
+        const ports::ReadResult read = m_store.read(membersTable, "");
+        const auto *const readFailure = std::get_if<StoreFailure>(&read);
+        if (writeFailure != nullptr || readFailure != nullptr) {
+            noteStore(membersTable, writeFailure != nullptr ? *writeFailure : *readFailure);
+        } else {
+            noteStore(membersTable, std::nullopt);
+        }
+        if (readFailure != nullptr) {
+            m_loop.post(fleet::MembersRead{});
+        } else {
+            std::vector<fleet::MemberRow> rows;
+            for (const StoreRow &it : std::get<StoreRows>(read).rows) {
+                if (auto row = adapters::decodeMember(it.key, it.value)) {
+                    rows.push_back(std::move(*row));
+                }
+            }
+            m_onMembers(rows);
+            m_loop.post(fleet::MembersRead{std::move(rows)});
+        }
+        pause(beatInterval);
+    }
+}
+
+ports::ReadResult FleetSync::readKeepers()
+{
+    // Its version comes before those of the parts, so that no change is missed between them.
+    ports::ReadResult first = m_store.read(keepersTable, "");
+    if (std::holds_alternative<StoreFailure>(first)) {
+        return first;
+    }
+    const auto parts = m_store.parts(keepersTable);
+    if (!parts) {
+        return StoreFailure::NoAnswer;
+    }
+    StoreRows all = std::get<StoreRows>(std::move(first));
+    for (const std::string &part : *parts) {
+        if (part.empty()) {
+            continue;
+        }
+        ports::ReadResult read = m_store.read(keepersTable, part);
+        if (std::holds_alternative<StoreFailure>(read)) {
+            return read;
+        }
+        std::ranges::move(std::get<StoreRows>(read).rows, std::back_inserter(all.rows));
+    }
+    return all;
+}
+
+void FleetSync::takeUpstreams(const std::vector<StoreRow> &rows, bool isWhole)
+{
+    fleet::UpstreamsSeen seen{{}, {}, isWhole};
+    for (const StoreRow &it : rows) {
+        if (it.isRemoved) {
+            seen.removed.emplace_back(it.key);
+            m_unreadable.erase(it.key);
+            continue;
+        }
+        if (auto entry = m_format.decodeUpstream(it.key, it.value)) {
+            seen.present.push_back(std::move(*entry));
+        } else if (m_unreadable.insert(it.key).second) {
+            log(LogLevel::Warn, LogPart::Platform,
+                "upstream entry skipped reason=unreadable key=" + it.key);
+        }
+    }
+    m_loop.post(std::move(seen));
+}
+
+void FleetSync::takeKeepers(const std::vector<StoreRow> &rows, bool isWhole)
+{
+    fleet::KeepersRead read{{}, isWhole};
+    for (const StoreRow &it : rows) {
+        if (it.isRemoved) {
+            continue;
+        }
+        if (auto row = adapters::decodeKeeper(it.key, it.part, it.version, it.value)) {
+            read.rows.push_back(std::move(*row));
+        }
+    }
+    m_loop.post(std::move(read));
+}
+
+void FleetSync::takeConfiguration(const std::vector<StoreRow> &rows)
+{
+    for (const StoreRow &it : rows) {
+        if (it.key != m_format.configurationKey || it.isRemoved) {
+            continue;
+        }
+        if (auto config = m_format.decodeConfiguration(it.value)) {
+            m_onConfiguration(std::move(*config));
+        } else {
+            log(LogLevel::Error, LogPart::Config, "configuration unreadable, the last one stays");
+        }
+    }
+}
+
+void FleetSync::writeKeepers(const fleet::WriteKeepers &order)
+{
+    spawn([this, order] {
+        std::vector<ports::StoreWrite> writes;
+        for (const fleet::KeeperRow &it : order.rows) {
+            writes.push_back({keepersTable, order.zone.value(), it.upstream.value(),
+                              adapters::encodeKeeper(it), it.version});
+        }
+        fleet::KeepersWritten written{order.zone, std::nullopt, {}};
+        std::visit(Overloaded{[&](const ports::StoreCommitted &it) {
+                                  written.committed = true;
+                                  written.rows = order.rows;
+                                  for (fleet::KeeperRow &row : written.rows) {
+                                      row.version = it.version;
+                                  }
+                              },
+                              [&](const ports::StoreConflict &it) {
+                                  written.committed = false;
+                                  for (const StoreRow &row : it.rows) {
+                                      if (auto keeper = adapters::decodeKeeper(
+                                                  row.key, order.zone.value(), row.version,
+                                                  row.value)) {
+                                          written.rows.push_back(std::move(*keeper));
+                                      }
+                                  }
+                              },
+                              [&](const StoreFailure &it) {
+                                  if (it == StoreFailure::Refused) {
+                                      written.committed = false;
+                                  }
+                                  log(LogLevel::Warn, LogPart::Platform,
+                                      "keepers not written zone=" + order.zone.value()
+                                              + " reason=" + std::string{name(it)});
+                              }},
+                   m_store.write(writes));
+        m_loop.post(std::move(written));
+    });
+}
+
+} // namespace rattandock::app
--- a/src/rattandock/app/operator_api.cpp
+++ b/src/rattandock/app/operator_api.cpp
@@ -56,10 +56,10 @@
         if (!detail) {
             continue;
         }
-        if (it.kind == core::NoteKind::TaskResent) {
+        if (it.event == name(core::NoteKind::TaskResent)) {
             waits[detail->task] = {it.time, "retry-backoff after " + it.reason};
         }
-        if (it.kind == core::NoteKind::TaskPlaced) {
+        if (it.event == name(core::NoteKind::TaskPlaced)) {
             const Wait wait =
                     waits.contains(detail->task) ? waits[detail->task] : Wait{entries.front().time};
             const auto waited = toMilliseconds(it.time - wait.since);
@@ -156,7 +156,7 @@
     json::array decisions;
     for (const DecisionCount &it : seen.counts) {
         decisions.push_back(json::object{
-                {"decision", name(it.kind)}, {"reason", it.reason}, {"count", it.count}});
+                {"decision", it.event}, {"reason", it.reason}, {"count", it.count}});
     }
     const core::DispatcherStatus &status = seen.status;
     return reply(200, {{"vm", m_vm.value()},
@@ -207,7 +207,7 @@
     for (const HistoryEntry &it : seen.entries) {
         events.push_back(
                 json::object{{"afterMs", toMilliseconds(it.time - seen.entries.front().time)},
-                             {"event", name(it.kind)},
+                             {"event", it.event},
                              {"reason", it.reason},
                              {"detail", it.detail}});
     }
--- /dev/null
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -0,0 +1,31 @@
+#include "rattandock/fleet/fleet_action.hpp"
+
+#include <array>
+
+namespace rattandock::fleet {
+
+std::string_view name(TurnedAway reason)
+{
+    static constexpr std::array<std::string_view, turnedAwayCount> names{
+            "overload", "no-upstreams", "nothing-fits", "deadline-passed", "stopping", "paused"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view name(BrokenOff reason)
+{
+    static constexpr std::array<std::string_view, brokenOffCount> names{
+            "deadline-passed", "peer-lost", "stopping", "paused", "resubmitted"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view name(FleetNoteKind kind)
+{
+    static constexpr std::array<std::string_view, fleetNoteKindCount> names{
+            "job-turned-away",   "job-broken-off",  "job-failed",         "job-completed",
+            "tasks-offered",     "offer-ended",     "run-repeated",       "run-ended",
+            "upstream-claimed",  "upstream-released", "upstream-lost",    "upstream-gone",
+            "upstream-set-aside", "upstream-restored", "peer-link",       "paused"};
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -0,0 +1,313 @@
+// How a FleetDispatcher starts, offers, repeats and ends the runs of its jobs.
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include "rattandock/fleet/fleet_dispatcher.hpp"
+#include "rattandock/fleet/placement.hpp"
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// A run away from its data may take this much longer; the platform's figures are 1.5 to 3.
+constexpr double farFactor = 2.0;
+/// Jobs that one round of starts looks at, so that a long queue does not slow each event.
+constexpr std::size_t maxJobsPerRound = 100;
+
+Duration scaled(Duration time, double factor)
+{
+    return Duration{static_cast<Duration::rep>(static_cast<double>(time.count()) * factor)};
+}
+
+bool isOnRack(const UpstreamEntry &entry, const RackId &rack)
+{
+    return rack.value().empty()
+           || std::ranges::find(entry.labels, rack.value()) != entry.labels.end();
+}
+
+} // namespace
+
+Duration FleetDispatcher::expectedRun(const FleetJob &job) const
+{
+    return scaled(job.estimate, m_times.meanFactor());
+}
+
+std::vector<JobNumber> FleetDispatcher::waitingInOrder(TimePoint now) const
+{
+    // Begun jobs first, then by the last moment to start in time; late ones after all others, the
+    // smallest first, so that most callers get an answer.
+    using Rank = std::tuple<int, Duration::rep, std::uint32_t, JobNumber>;
+    std::vector<Rank> order;
+    for (const auto &[number, job] : m_jobs) {
+        if (job.waiting == 0) {
+            continue;
+        }
+        const TimePoint latestStart = job.objective - expectedRun(job.spec);
+        const bool isLate = latestStart < now;
+        const int rank = isLate ? 2 : job.hasStarted ? 0 : 1;
+        const Duration::rep key =
+                isLate ? static_cast<Duration::rep>(job.waiting) * job.spec.need.cpu.value()
+                                 * job.spec.estimate.count()
+                       : latestStart.time_since_epoch().count();
+        order.emplace_back(rank, key, job.spec.priority, number);
+    }
+    std::ranges::sort(order);
+    std::vector<JobNumber> result;
+    for (std::size_t n = 0; n < std::min(order.size(), maxJobsPerRound); ++n) {
+        result.push_back(std::get<JobNumber>(order[n]));
+    }
+    return result;
+}
+
+void FleetDispatcher::dispatch(TimePoint now, FleetActions &actions)
+{
+    for (const JobNumber number : waitingInOrder(now)) {
+        Job &job = m_jobs.at(number);
+        if (!m_endingRuns.contains(job.spec.id.value())) {
+            dispatchJob(number, job, now, actions);
+        }
+    }
+}
+
+void FleetDispatcher::dispatchJob(JobNumber number, Job &job, TimePoint now, FleetActions &actions)
+{
+    for (std::size_t n = 0; n < job.tasks.size(); ++n) {
+        const Task &task = job.tasks[n];
+        if (task.state == TaskState::Waiting && task.notBefore <= now
+            && !startHere(number, job, n, now, actions)) {
+            break;
+        }
+    }
+    if (job.waiting > 0 && std::holds_alternative<CallerRequestId>(job.origin)) {
+        offerWaiting(number, job, now, actions);
+    }
+}
+
+bool FleetDispatcher::startHere(JobNumber number, Job &job, std::size_t index, TimePoint now,
+                                FleetActions &actions)
+{
+    std::vector<PlacementCandidate> candidates;
+    std::vector<Kept *> kept;
+    std::uint64_t usable = 0;
+    std::uint64_t free = 0;
+    for (auto &[id, it] : m_kept) {
+        const UpstreamEntry &entry = it.ledger.entry();
+        if (entry.service != job.spec.service || !mayPlaceOn(it, now)) {
+            continue;
+        }
+        const Room room = it.ledger.free();
+        usable += entry.capacity.cpu.value();
+        free += room.cpu.value();
+        if (!room.holds(job.spec.need) || !hasLabel(entry, job.spec)) {
+            continue;
+        }
+        if (job.spec.maxPerUpstream > 0
+            && it.ledger.runsOf(number) >= job.spec.maxPerUpstream) {
+            continue;
+        }
+        Duration expected = m_times.expected(id, kindOf(entry), job.spec.estimate);
+        if (!isOnRack(entry, job.spec.preferredRack)) {
+            expected = scaled(expected, farFactor);
+        }
+        candidates.push_back({kept.size(), room.minus(job.spec.need).cpu.value(), expected});
+        kept.push_back(&it);
+    }
+    const auto choice = choosePlacement(
+            candidates, {job.objective - now, job.deadline - now, free * 2 < usable});
+    if (!choice) {
+        return false;
+    }
+    UpstreamLedger &ledger = kept[*choice]->ledger;
+    const UpstreamId &upstream = ledger.entry().id;
+    Task &task = job.tasks[index];
+    task.state = TaskState::Running;
+    task.upstream = upstream;
+    task.expected = candidates[*choice].expected;
+    task.startedAt = now;
+    task.isOverdue = false;
+    --job.waiting;
+    job.hasStarted = true;
+    const RunName name{job.spec.id.value(), 0, 0, job.indices[index]};
+    const RunNumber run{task.nextRun++};
+    const UpstreamTime leaseUntil = ledger.leaseUntil(now);
+    ledger.startSent({number, TaskIndex{static_cast<std::uint32_t>(index)}}, name, run,
+                     job.spec.need, now);
+    m_watch.started(upstream);
+    actions.emplace_back(
+            StartOrder{upstream, name, run, ledger.token(), leaseUntil, job.spec.payload});
+    return true;
+}
+
+void FleetDispatcher::offerWaiting(JobNumber number, Job &job, TimePoint now,
+                                   FleetActions &actions)
+{
+    std::vector<std::uint32_t> waiting;
+    for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
+        if (job.tasks[n].state == TaskState::Waiting && job.tasks[n].notBefore <= now) {
+            waiting.push_back(n);
+        }
+    }
+    std::size_t next = 0;
+    while (next < waiting.size()) {
+        const auto share = m_shared.take(job.spec.need.cpu, waiting.size() - next);
+        if (!share) {
+            return;
+        }
+        TaskOffer offer{m_nextOffer++, job.spec, {}, 1};
+        offer.job.deadline = job.deadline - now;
+        offer.job.objective = job.objective - now;
+        Offer &record = m_offers[offer.number];
+        record.vm = share->vm;
+        record.job = number;
+        for (std::size_t n = 0; n < share->tasks; ++n) {
+            const std::uint32_t index = waiting[next++];
+            Task &task = job.tasks[index];
+            task.state = TaskState::Offered;
+            offer.firstRun = std::max(offer.firstRun, task.nextRun);
+            offer.tasks.push_back(job.indices[index]);
+            record.tasks.push_back(index);
+        }
+        job.waiting -= share->tasks;
+        job.hasStarted = true;
+        actions.emplace_back(FleetNote{FleetNoteKind::TasksOffered, "no-room-here", job.spec.id,
+                                       share->vm.value() + ", tasks "
+                                               + std::to_string(share->tasks)});
+        actions.emplace_back(SendToVm{share->vm, std::move(offer)});
+    }
+}
+
+void FleetDispatcher::taskWaits(Job &job, Task &task, TimePoint notBefore)
+{
+    task.state = TaskState::Waiting;
+    task.notBefore = notBefore;
+    ++job.waiting;
+}
+
+void FleetDispatcher::taskDone(JobNumber number, Job &job, Task &task, FleetActions &actions)
+{
+    task.state = TaskState::Done;
+    if (++job.done == job.tasks.size()) {
+        endJob(number, JobCompleted{}, TimePoint{}, actions);
+    }
+}
+
+void FleetDispatcher::runOver(const UpstreamId &upstream, const RunOver &over, TimePoint now,
+                              FleetActions &actions)
+{
+    const JobNumber number = over.task.job;
+    const auto found = m_jobs.find(number);
+    if (found == m_jobs.end()) {
+        const auto ended = m_endedJobs.find(number);
+        if (ended != m_endedJobs.end() && --m_endingRuns[ended->second] == 0) {
+            m_endingRuns.erase(ended->second);
+        }
+        if (over.how == RunEndKind::Done) {
+            m_watch.succeeded(upstream);
+        } else if (over.how != RunEndKind::Failed) {
+            m_watch.endedWithoutVerdict(upstream);
+        }
+        return;
+    }
+    Job &job = found->second;
+    Task &task = job.tasks[over.task.task.value()];
+    if (task.state != TaskState::Running) {
+        return;
+    }
+    if (over.how == RunEndKind::Done) {
+        const auto listed = m_listed.find(upstream);
+        if (listed != m_listed.end() && job.spec.estimate > Duration{}
+            && isOnRack(listed->second.entry, job.spec.preferredRack)) {
+            m_times.learn(upstream, kindOf(listed->second.entry), job.spec.estimate, over.elapsed);
+        }
+        if (m_watch.succeeded(upstream) == UpstreamWatch::Change::Restored) {
+            actions.emplace_back(FleetNote{
+                    FleetNoteKind::UpstreamRestored, "probe-done", {}, upstream.value()});
+        }
+        return taskDone(number, job, task, actions);
+    }
+    if (over.how == RunEndKind::Failed) {
+        if (m_watch.failed(upstream, number, now) == UpstreamWatch::Change::SetAside) {
+            actions.emplace_back(
+                    FleetNote{FleetNoteKind::UpstreamSetAside, "failures", {}, upstream.value()});
+        }
+        if (++task.failures >= job.spec.maxAttempts) {
+            return endJob(number, JobFailed{}, now, actions);
+        }
+    } else if (!task.isOverdue) {
+        m_watch.endedWithoutVerdict(upstream);
+    }
+    static constexpr std::array<std::string_view, 6> names{"done",   "failed", "stopped",
+                                                           "lapsed", "broken", "alone"};
+    actions.emplace_back(FleetNote{FleetNoteKind::RunRepeated,
+                                   names.at(static_cast<std::size_t>(over.how)), job.spec.id,
+                                   "task " + std::to_string(job.indices[over.task.task.value()])
+                                           + ", " + upstream.value() + ", after "
+                                           + std::to_string(toMilliseconds(over.elapsed)) + " ms"});
+    taskWaits(job, task, m_runsOverAt.value_or(now));
+}
+
+void FleetDispatcher::runNeverStarted(const UpstreamId &upstream, const RunNeverStarted &run,
+                                      TimePoint now, FleetActions &actions)
+{
+    const JobNumber number = run.task.job;
+    m_watch.endedWithoutVerdict(upstream);
+    const auto found = m_jobs.find(number);
+    if (found == m_jobs.end()) {
+        const auto ended = m_endedJobs.find(number);
+        if (ended != m_endedJobs.end() && --m_endingRuns[ended->second] == 0) {
+            m_endingRuns.erase(ended->second);
+        }
+        return;
+    }
+    Job &job = found->second;
+    Task &task = job.tasks[run.task.task.value()];
+    if (task.state != TaskState::Running) {
+        return;
+    }
+    actions.emplace_back(FleetNote{FleetNoteKind::RunRepeated, name(run.reason), job.spec.id,
+                                   "task " + std::to_string(job.indices[run.task.task.value()])
+                                           + ", " + upstream.value()});
+    if (run.reason == OrderResult::Rejected) {
+        return endJob(number, JobFailed{}, now, actions);
+    }
+    if (run.reason == OrderResult::Unhealthy
+        && m_watch.failed(upstream, number, now) == UpstreamWatch::Change::SetAside) {
+        actions.emplace_back(
+                FleetNote{FleetNoteKind::UpstreamSetAside, "unhealthy", {}, upstream.value()});
+    }
+    // A pause, so that an upstream that refuses at once is not asked in a tight loop.
+    constexpr Duration refusedPause = std::chrono::milliseconds{5};
+    taskWaits(job, task, now + refusedPause);
+}
+
+void FleetDispatcher::stopOverdue(TimePoint now, FleetActions &actions)
+{
+    for (auto &[number, job] : m_jobs) {
+        for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
+            Task &task = job.tasks[n];
+            const Duration limit =
+                    scaled(task.expected, m_options.overdueFactor) + m_options.overdueExtra;
+            if (task.state != TaskState::Running || task.isOverdue
+                || now - task.startedAt < limit) {
+                continue;
+            }
+            task.isOverdue = true;
+            const auto kept = m_kept.find(task.upstream);
+            if (kept == m_kept.end()) {
+                continue;
+            }
+            if (m_watch.failed(task.upstream, number, now) == UpstreamWatch::Change::SetAside) {
+                actions.emplace_back(FleetNote{FleetNoteKind::UpstreamSetAside,
+                                               "overdue",
+                                               {},
+                                               task.upstream.value()});
+            }
+            LedgerOutputs outputs;
+            kept->second.ledger.stop({number, TaskIndex{n}}, now, outputs);
+            apply(kept->first, outputs, now, actions);
+        }
+    }
+}
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -0,0 +1,315 @@
+// Which upstreams a FleetDispatcher keeps, and what their ledgers report.
+#include <algorithm>
+
+#include "rattandock/base/overloaded.hpp"
+#include "rattandock/fleet/fleet_dispatcher.hpp"
+#include "rattandock/fleet/keeper_assignment.hpp"
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// Rows in one conditional write; below the platform's bound of 100 entries of checks and writes.
+constexpr std::size_t maxRowsPerWrite = 48;
+
+} // namespace
+
+void FleetDispatcher::on(const UpstreamsSeen &event, TimePoint now, FleetActions & /*actions*/)
+{
+    m_hasUpstreams = m_hasUpstreams || event.isWhole;
+    std::set<UpstreamId> present;
+    for (const UpstreamEntry &it : event.present) {
+        present.insert(it.id);
+        seeUpstream(it);
+    }
+    const auto unlist = [&](Listed &listed) {
+        listed.unlistedSince = listed.unlistedSince.value_or(now);
+    };
+    if (event.isWhole) {
+        for (auto &[id, listed] : m_listed) {
+            if (!present.contains(id)) {
+                unlist(listed);
+            }
+        }
+    }
+    for (const UpstreamId &it : event.removed) {
+        if (const auto listed = m_listed.find(it); listed != m_listed.end()) {
+            unlist(listed->second);
+        }
+    }
+}
+
+void FleetDispatcher::seeUpstream(const UpstreamEntry &entry)
+{
+    m_listed[entry.id] = Listed{entry, std::nullopt};
+    if (const auto kept = m_kept.find(entry.id); kept != m_kept.end()) {
+        kept->second.ledger.update(entry);
+    }
+}
+
+void FleetDispatcher::expireUnlisted(TimePoint now, FleetActions &actions)
+{
+    std::vector<UpstreamId> gone;
+    for (const auto &[id, listed] : m_listed) {
+        if (!listed.unlistedSince) {
+            continue;
+        }
+        const auto kept = m_kept.find(id);
+        const bool isSilent = kept == m_kept.end() || kept->second.ledger.isSilent();
+        const bool hasLeft = listed.entry.draining && isSilent;
+        if (hasLeft || now - *listed.unlistedSince >= m_options.unlistedUse) {
+            gone.push_back(id);
+        }
+    }
+    for (const UpstreamId &it : gone) {
+        m_listed.erase(it);
+        if (m_kept.contains(it)) {
+            actions.emplace_back(FleetNote{FleetNoteKind::UpstreamGone, "unlisted", {}, it.value()});
+            dropUpstream(it, "unlisted", now, actions);
+        }
+    }
+}
+
+void FleetDispatcher::on(const MembersRead &event, TimePoint now, FleetActions & /*actions*/)
+{
+    if (!event.rows) {
+        m_members.readFailed();
+        return;
+    }
+    m_hasMembers = true;
+    std::map<VmId, MemberRow> present;
+    for (const MemberRow &it : *event.rows) {
+        present.emplace(it.vm, it);
+        m_members.see(it, now);
+        m_members.setLink(it.vm, m_linked.contains(it.vm));
+    }
+    m_members.forgetAllBut(present);
+    m_members.readSucceeded(now);
+}
+
+void FleetDispatcher::on(const KeepersRead &event, TimePoint now, FleetActions &actions)
+{
+    m_hasKeepers = m_hasKeepers || event.isWhole;
+    for (const KeeperRow &it : event.rows) {
+        seeKeeper(it, now, actions);
+    }
+}
+
+void FleetDispatcher::on(const KeepersWritten &event, TimePoint now, FleetActions &actions)
+{
+    m_writing.erase(event.zone);
+    for (const KeeperRow &it : event.rows) {
+        seeKeeper(it, now, actions);
+    }
+}
+
+void FleetDispatcher::seeKeeper(const KeeperRow &row, TimePoint now, FleetActions &actions)
+{
+    const auto known = m_keepers.find(row.upstream);
+    if (known != m_keepers.end() && known->second.version > row.version) {
+        return;
+    }
+    m_keepers[row.upstream] = row;
+    const bool isMine = row.vm == m_options.vm && row.incarnation == m_options.incarnation;
+    const auto kept = m_kept.find(row.upstream);
+    if (kept != m_kept.end() && (!isMine || kept->second.ledger.epoch() != row.epoch)) {
+        dropUpstream(row.upstream, "other-keeper", now, actions);
+    }
+    const auto listed = m_listed.find(row.upstream);
+    if (isMine && listed != m_listed.end() && !m_kept.contains(row.upstream)) {
+        m_kept.emplace(row.upstream,
+                       Kept{UpstreamLedger{listed->second.entry, row.epoch, m_options.lease}});
+        actions.emplace_back(FleetNote{FleetNoteKind::UpstreamClaimed,
+                                       "claimed",
+                                       {},
+                                       row.upstream.value() + ", epoch "
+                                               + std::to_string(row.epoch)});
+    }
+}
+
+void FleetDispatcher::considerAssignment(TimePoint now, FleetActions &actions)
+{
+    const bool isSettled = now - *m_startedAt >= m_options.settleTime;
+    const MemberRow *const self = m_members.find(m_options.vm);
+    if (!m_hasMembers || !m_hasKeepers || !m_hasUpstreams || !isSettled || self == nullptr) {
+        return;
+    }
+    AssignmentView view{m_options.vm, m_options.incarnation, m_members.alive(), {}, m_keepers};
+    MemberRow &own = view.members[m_options.vm] = *self;
+    own.incarnation = m_options.incarnation;
+    own.draining = m_stopAt.has_value();
+    for (const auto &[id, listed] : m_listed) {
+        const bool isLeaving = listed.entry.draining || listed.unlistedSince;
+        if (!isLeaving || m_kept.contains(id)) {
+            view.upstreams.emplace(id, listed.entry.zone);
+        }
+    }
+    const AssignmentDecision decision = assignUpstreams(view);
+    for (auto &[id, kept] : m_kept) {
+        kept.isReleasing = std::ranges::find(decision.release, id) != decision.release.end();
+    }
+    std::vector<UpstreamId> released;
+    for (const UpstreamId &it : decision.release) {
+        if (m_kept.contains(it) && m_kept.at(it).ledger.isIdle()) {
+            released.push_back(it);
+        }
+    }
+    writeKeepers(released, false, now, actions);
+    std::vector<UpstreamId> claimed;
+    std::ranges::copy_if(decision.claim, std::back_inserter(claimed),
+                         [&](const UpstreamId &it) { return m_listed.contains(it); });
+    writeKeepers(claimed, true, now, actions);
+}
+
+void FleetDispatcher::writeKeepers(const std::vector<UpstreamId> &upstreams, bool claim,
+                                   TimePoint now, FleetActions &actions)
+{
+    std::map<ZoneId, std::vector<KeeperRow>> byZone;
+    for (const UpstreamId &it : upstreams) {
+        const ZoneId &zone = m_listed.at(it).entry.zone;
+        auto &rows = byZone[zone];
+        if (m_writing.contains(zone) || rows.size() >= maxRowsPerWrite) {
+            continue;
+        }
+        const auto known = m_keepers.find(it);
+        KeeperRow row = known == m_keepers.end() ? KeeperRow{it, zone, {}, {}, 0, 0}
+                                                 : known->second;
+        row.vm = claim ? m_options.vm : VmId{};
+        row.incarnation = claim ? m_options.incarnation : Incarnation{};
+        row.epoch += 1;
+        rows.push_back(std::move(row));
+    }
+    for (auto &[zone, rows] : byZone) {
+        if (rows.empty()) {
+            continue;
+        }
+        m_writing.insert(zone);
+        for (const KeeperRow &it : rows) {
+            if (!claim) {
+                // Given up before the row says so: from here on another VM may order it.
+                actions.emplace_back(FleetNote{FleetNoteKind::UpstreamReleased, "released", {},
+                                               it.upstream.value()});
+                dropUpstream(it.upstream, "released", now, actions);
+            }
+        }
+        actions.emplace_back(WriteKeepers{zone, std::move(rows)});
+    }
+}
+
+void FleetDispatcher::dropUpstream(const UpstreamId &id, std::string_view reason, TimePoint now,
+                                   FleetActions &actions)
+{
+    auto node = m_kept.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    UpstreamLedger &ledger = node.mapped().ledger;
+    if (ledger.runCount() > 0) {
+        actions.emplace_back(FleetNote{FleetNoteKind::UpstreamLost,
+                                       reason,
+                                       {},
+                                       id.value() + ", runs "
+                                               + std::to_string(ledger.runCount())});
+    }
+    LedgerOutputs outputs;
+    m_runsOverAt = ledger.abandon(now, outputs);
+    apply(id, outputs, now, actions);
+    m_runsOverAt.reset();
+    m_watch.forget(id);
+}
+
+void FleetDispatcher::stepLedgers(TimePoint now, FleetActions &actions)
+{
+    std::vector<UpstreamId> due;
+    for (const auto &[id, kept] : m_kept) {
+        if (const auto timer = kept.ledger.nextTimer(); timer && *timer <= now) {
+            due.push_back(id);
+        }
+    }
+    for (const UpstreamId &it : due) {
+        if (const auto kept = m_kept.find(it); kept != m_kept.end()) {
+            LedgerOutputs outputs;
+            kept->second.ledger.step(now, outputs);
+            apply(it, outputs, now, actions);
+        }
+    }
+}
+
+void FleetDispatcher::on(const StartAnswered &event, TimePoint now, FleetActions &actions)
+{
+    if (const auto kept = m_kept.find(event.upstream); kept != m_kept.end()) {
+        LedgerOutputs outputs;
+        kept->second.ledger.startAnswered(event.name, event.number, event.result, event.clock, now,
+                                          outputs);
+        apply(event.upstream, outputs, now, actions);
+    }
+}
+
+void FleetDispatcher::on(const StopAnswered &event, TimePoint now, FleetActions &actions)
+{
+    if (const auto kept = m_kept.find(event.upstream); kept != m_kept.end()) {
+        LedgerOutputs outputs;
+        kept->second.ledger.stopAnswered(event.name, event.number, event.result, now, outputs);
+        apply(event.upstream, outputs, now, actions);
+    }
+}
+
+void FleetDispatcher::on(const LookAnswered &event, TimePoint now, FleetActions &actions)
+{
+    if (const auto kept = m_kept.find(event.upstream); kept != m_kept.end()) {
+        LedgerOutputs outputs;
+        kept->second.ledger.lookAnswered(event.number, event.report, now, outputs);
+        apply(event.upstream, outputs, now, actions);
+    }
+}
+
+void FleetDispatcher::on(const LookFailed &event, TimePoint now, FleetActions &actions)
+{
+    if (const auto kept = m_kept.find(event.upstream); kept != m_kept.end()) {
+        LedgerOutputs outputs;
+        kept->second.ledger.lookFailed(event.number, event.result, now, outputs);
+        apply(event.upstream, outputs, now, actions);
+    }
+}
+
+void FleetDispatcher::apply(const UpstreamId &upstream, LedgerOutputs &outputs, TimePoint now,
+                            FleetActions &actions)
+{
+    for (LedgerOutput &output : outputs) {
+        std::visit(Overloaded{
+                           [&](LookOrder &it) { actions.emplace_back(std::move(it)); },
+                           [&](StopOrder &it) { actions.emplace_back(std::move(it)); },
+                           [&](const RunOver &it) { runOver(upstream, it, now, actions); },
+                           [&](const RunNeverStarted &it) {
+                               runNeverStarted(upstream, it, now, actions);
+                           },
+                           [&](const UpstreamLost &it) {
+                               m_keepers.erase(it.upstream);
+                               if (it.reason == OrderResult::OtherIncarnation) {
+                                   m_listed.erase(it.upstream);
+                               }
+                               dropUpstream(it.upstream, name(it.reason), now, actions);
+                           }},
+                   output);
+    }
+}
+
+bool FleetDispatcher::mayPlaceOn(const Kept &kept, TimePoint now) const
+{
+    const UpstreamEntry &entry = kept.ledger.entry();
+    return !kept.isReleasing && !entry.draining && kept.ledger.takesOrders()
+           && m_watch.mayStart(entry.id, now);
+}
+
+bool FleetDispatcher::hasLabel(const UpstreamEntry &entry, const FleetJob &job) const
+{
+    return job.requiredLabel.empty()
+           || std::ranges::find(entry.labels, job.requiredLabel) != entry.labels.end();
+}
+
+std::string FleetDispatcher::kindOf(const UpstreamEntry &entry)
+{
+    return entry.labels.empty() ? std::string{} : entry.labels.front();
+}
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/src/rattandock/fleet/placement.cpp
@@ -0,0 +1,50 @@
+#include "rattandock/fleet/placement.hpp"
+
+#include <cmath>
+#include <tuple>
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// Part of the expected time added for safety: run times spread by 40% about their estimate.
+constexpr double timeMargin = 1.25;
+/// Expected times within this factor count as alike.
+constexpr double likeFactor = 1.25;
+
+Duration withMargin(Duration expected)
+{
+    return Duration{
+            static_cast<Duration::rep>(static_cast<double>(expected.count()) * timeMargin)};
+}
+
+int speedClass(Duration expected)
+{
+    const double micros = std::max<double>(1, static_cast<double>(expected.count()));
+    return static_cast<int>(std::floor(std::log(micros) / std::log(likeFactor)));
+}
+
+} // namespace
+
+std::optional<std::size_t> choosePlacement(const std::vector<PlacementCandidate> &candidates,
+                                           const PlacementNeed &need)
+{
+    using Rank = std::tuple<bool, int, std::uint32_t>;
+    std::optional<std::size_t> best;
+    Rank bestRank;
+    for (const PlacementCandidate &it : candidates) {
+        if (it.expected > need.untilDeadline) {
+            continue;
+        }
+        const bool isLate = withMargin(it.expected) > need.untilObjective;
+        const int speed = speedClass(it.expected);
+        const Rank rank{isLate, need.roomIsScarce && !isLate ? -speed : speed, it.cpuLeft};
+        if (!best || rank < bestRank) {
+            best = it.index;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/src/rattandock/fleet/run_times.cpp
@@ -0,0 +1,73 @@
+#include "rattandock/fleet/run_times.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// Share of a new sample in the mean of one upstream, so that a change of its speed shows after
+/// about ten runs, one second under load.
+constexpr double upstreamWeight = 0.1;
+/// Share of a new sample in the mean of a kind.
+constexpr double kindWeight = 0.02;
+/// Bounds what one run can teach.
+constexpr double maxLogFactor = 3.0;
+
+double logFactorOf(Duration estimate, Duration elapsed)
+{
+    const double factor =
+            static_cast<double>(elapsed.count()) / static_cast<double>(estimate.count());
+    return std::clamp(std::log(std::max(factor, 1e-3)), -maxLogFactor, maxLogFactor);
+}
+
+} // namespace
+
+void RunTimes::Mean::add(double value, double weight)
+{
+    samples += 1;
+    logFactor += (value - logFactor) * std::max(weight, 1.0 / samples);
+}
+
+void RunTimes::learn(const UpstreamId &upstream, const std::string &kind, Duration estimate,
+                     Duration elapsed)
+{
+    const double sample = logFactorOf(estimate, elapsed);
+    const auto [it, isNew] = m_upstreams.try_emplace(upstream);
+    if (isNew) {
+        // The mean of the kind stands for a few runs.
+        constexpr double priorSamples = 4;
+        if (const auto known = m_kinds.find(kind); known != m_kinds.end()) {
+            it->second = {known->second.logFactor, priorSamples};
+        }
+    }
+    it->second.add(sample, upstreamWeight);
+    m_kinds[kind].add(sample, kindWeight);
+    m_all.add(sample, kindWeight);
+}
+
+double RunTimes::factor(const UpstreamId &upstream, const std::string &kind) const
+{
+    if (const auto it = m_upstreams.find(upstream); it != m_upstreams.end()) {
+        return std::exp(it->second.logFactor);
+    }
+    if (const auto it = m_kinds.find(kind); it != m_kinds.end()) {
+        return std::exp(it->second.logFactor);
+    }
+    return meanFactor();
+}
+
+Duration RunTimes::expected(const UpstreamId &upstream, const std::string &kind,
+                            Duration estimate) const
+{
+    return Duration{static_cast<Duration::rep>(static_cast<double>(estimate.count())
+                                               * factor(upstream, kind))};
+}
+
+double RunTimes::meanFactor() const
+{
+    return std::exp(m_all.logFactor);
+}
+
+} // namespace rattandock::fleet
--- a/src/rattandockd/main.cpp
+++ b/src/rattandockd/main.cpp
@@ -3,10 +3,12 @@
 #include <iostream>
 #include <thread>
 
+#include "platform/platform_adapters.hpp"
 #include "rattandock/adapters/log.hpp"
 #include "rattandock/adapters/settings.hpp"
 #include "rattandock/app/daemon.hpp"
 #include "rattandock/app/exit_code.hpp"
+#include "rattandock/app/fleet_daemon.hpp"
 
 using namespace rattandock;
 
@@ -22,33 +24,58 @@
     return options;
 }
 
-int serve(const adapters::Settings &settings, const sigset_t &awaitedSignals)
+void reload(app::Daemon &daemon, const adapters::Settings &settings)
 {
-    auto daemon = app::Daemon::start(settings);
-    if (!daemon) {
-        std::cerr << describe(daemon.error());
-        return app::exitFailed;
+    if (settings.peerTls) {
+        daemon.reloadPeerTls();
     }
-    // Ends on a stop signal or when an operator's drain is done.
+}
+
+void reload(app::FleetDaemon & /*daemon*/, const adapters::Settings & /*settings*/)
+{
+    // What changes while the daemon runs comes from the platform; addresses need a restart.
+    adapters::log(adapters::LogLevel::Info, adapters::LogPart::Daemon,
+                  "reload requested, no setting can change while running");
+}
+
+/// Runs the daemon until a stop signal, or until an operator's drain is done.
+template <typename AnyDaemon>
+int serve(AnyDaemon &daemon, const adapters::Settings &settings, const sigset_t &awaitedSignals)
+{
     constexpr timespec pollTime{0, 100'000'000};
-    while (!daemon.value()->isDrained()) {
+    while (!daemon.isDrained()) {
         const int signal = sigtimedwait(&awaitedSignals, nullptr, &pollTime);
-        if (signal == SIGHUP && settings.peerTls) {
-            daemon.value()->reloadPeerTls();
+        if (signal == SIGHUP) {
+            reload(daemon, settings);
         } else if (signal == SIGTERM || signal == SIGINT) {
             break;
         }
     }
-    daemon.value()->drain();
-    while (!daemon.value()->isDrained()) {
+    daemon.drain();
+    while (!daemon.isDrained()) {
         std::this_thread::sleep_for(std::chrono::milliseconds{10});
     }
-    daemon.value()->stop();
+    daemon.stop();
     adapters::log(adapters::LogLevel::Info, adapters::LogPart::Daemon, "stopped");
     adapters::shutDownLog();
     return app::exitOk;
 }
 
+int start(const adapters::Settings &settings, const sigset_t &awaitedSignals)
+{
+    const auto run = [&](auto daemon) {
+        if (!daemon) {
+            std::cerr << describe(daemon.error());
+            return app::exitFailed;
+        }
+        return serve(*daemon.value(), settings, awaitedSignals);
+    };
+    if (settings.fleet) {
+        return run(app::FleetDaemon::start(settings, platform::makePlatformAdapters()));
+    }
+    return run(app::Daemon::start(settings));
+}
+
 int run(int argc, char **argv)
 {
     auto options = commandLine();
@@ -83,7 +110,7 @@
     pthread_sigmask(SIG_BLOCK, &awaitedSignals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     adapters::setUpLog(settings.value().logLevel);
-    return serve(settings.value(), awaitedSignals);
+    return start(settings.value(), awaitedSignals);
 }
 
 } // namespace
