Keep offers' deadlines, read the upstreams' rows at an interval, settle at once after a restart

Cause: an offer lost the answer margin on each hop, so its receiver gave it up and returned it up to ten times; the feed of upstreams' rows answered 32 times a second; after a total power loss claims waited 1.5 s; a cut zone's upstreams were claimed by VMs that could not reach them; waits were judged by the mean speed although long jobs run on the fast kind.

--- a/include/rattandock/adapters/http_connections.hpp
+++ b/include/rattandock/adapters/http_connections.hpp
@@ -30,6 +30,9 @@
     HttpClientResult exchange(const boost::asio::ip::tcp::endpoint &server,
                               const HttpRequest &request, Duration limit);
 
+    /// Makes a connection and keeps it for the next exchange; false if that fails.
+    bool connect(const boost::asio::ip::tcp::endpoint &server, Duration limit);
+
     /// Closes the idle connections to a server that is not used any more.
     void forget(const boost::asio::ip::tcp::endpoint &server);
     /// Ends all exchanges; later ones fail at once.
@@ -41,6 +44,10 @@
 private:
     struct Connection;
 
+    /// Null with the error if no connection was made.
+    std::unique_ptr<Connection> open(const boost::asio::ip::tcp::endpoint &server,
+                                     std::chrono::steady_clock::time_point deadline,
+                                     boost::system::error_code &ec);
     std::unique_ptr<Connection> takeIdle(const boost::asio::ip::tcp::endpoint &server);
 
     const std::size_t m_maxIdle;
--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -64,6 +64,7 @@
     void start(fleet::StartOrder order);
     void stop(fleet::StopOrder order);
     void look(fleet::LookOrder order);
+    void probe(fleet::ProbeUpstream order);
     void finish(CallerRequestId request, std::optional<fleet::JobEnd> end);
     std::optional<boost::asio::ip::tcp::endpoint> addressOf(const UpstreamId &upstream);
     void onPeerEvent(core::Event event);
--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -52,6 +52,9 @@
     struct Table
     {
         std::string name;
+        /// Wait for changes, and the least time between two calls.
+        Duration wait{};
+        Duration interval{};
         std::function<ports::ReadResult()> readWhole;
         std::function<void(const std::vector<ports::StoreRow> &rows, bool isWhole)> take;
     };
--- a/include/rattandock/fleet/admission.hpp
+++ b/include/rattandock/fleet/admission.hpp
@@ -19,6 +19,8 @@
     CoreWork ahead = 0;
     /// The job fits into free room at once.
     bool fitsNow = false;
+    /// The VM has just started and expects upstreams at any moment.
+    bool isStarting = false;
     /// Run time of one task, and of all of them one after the other.
     Duration longest{};
     CoreWork work = 0;
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -95,6 +95,14 @@
     std::vector<KeeperRow> rows;
 };
 
+/// Connect to an upstream to see whether its zone can be reached; UpstreamProbed follows.
+struct ProbeUpstream
+{
+    ZoneId zone;
+    /// `IP:PORT`.
+    std::string address;
+};
+
 /// What a decision was about.
 enum class FleetNoteKind : std::uint8_t {
     JobTurnedAway,
@@ -127,7 +135,7 @@
 };
 
 using FleetAction = std::variant<StartOrder, LookOrder, StopOrder, AnswerJob, SendToVm,
-                                 WriteKeepers, FleetNote>;
+                                 WriteKeepers, ProbeUpstream, FleetNote>;
 using FleetActions = std::vector<FleetAction>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -118,6 +118,7 @@
     void on(const OfferArrived &event, TimePoint now, FleetActions &actions);
     void on(const OfferEnded &event, TimePoint now, FleetActions &actions);
     void on(const OfferWithdrawn &event, TimePoint now, FleetActions &actions);
+    void on(const UpstreamProbed &event, TimePoint now, FleetActions &actions);
     void on(const StopRequested &event, TimePoint now, FleetActions &actions);
     void on(const ProcessPaused &event, TimePoint now, FleetActions &actions);
     void on(const TimerDue &event, TimePoint now, FleetActions &actions);
@@ -130,6 +131,11 @@
                       FleetActions &actions);
     void dropUpstream(const UpstreamId &id, std::string_view reason, TimePoint now,
                       FleetActions &actions);
+    /// Asks whether upstreams of another zone can be reached, and leaves out those that were not.
+    std::vector<UpstreamId> reachable(const std::vector<UpstreamId> &upstreams, TimePoint now,
+                                      FleetActions &actions);
+    /// True once the VMs that are known from before have shown up again, or had time to.
+    bool isSettled(TimePoint now) const;
     void expireUnlisted(TimePoint now, FleetActions &actions);
     void stepLedgers(TimePoint now, FleetActions &actions);
     void apply(const UpstreamId &upstream, LedgerOutputs &outputs, TimePoint now,
@@ -154,6 +160,8 @@
     void offerWaiting(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
     std::vector<JobNumber> waitingInOrder(TimePoint now) const;
     Duration expectedRun(const FleetJob &job) const;
+    /// Expected run time of one task on the fastest kind of upstream.
+    Duration fastestRun(const FleetJob &job) const;
 
     // Jobs (fleet_dispatcher_jobs.cpp).
     JobNumber addJob(FleetJob spec, Origin origin, std::vector<std::uint32_t> indices,
@@ -176,6 +184,9 @@
     std::map<UpstreamId, KeeperRow> m_keepers;
     std::map<UpstreamId, Kept> m_kept;
     std::set<ZoneId> m_writing;
+    /// When an upstream of another zone was last reached.
+    std::map<ZoneId, TimePoint> m_zoneReached;
+    std::set<ZoneId> m_probing;
     Membership m_members;
     std::set<VmId> m_linked;
     SharedRoom m_shared;
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -121,6 +121,13 @@
     TaskOfferWithdrawn withdrawal;
 };
 
+/// A ProbeUpstream has ended.
+struct UpstreamProbed
+{
+    ZoneId zone;
+    bool isReachable = false;
+};
+
 /// A planned stop begins.
 struct StopRequested
 {
@@ -140,6 +147,6 @@
 using FleetEvent = std::variant<JobArrived, CallerGone, UpstreamsSeen, MembersRead, KeepersRead,
                                 KeepersWritten, StartAnswered, StopAnswered, LookAnswered,
                                 LookFailed, PeerLink, PeerRoomSeen, OfferArrived, OfferEnded,
-                                OfferWithdrawn, StopRequested, ProcessPaused, TimerDue>;
+                                OfferWithdrawn, UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_options.hpp
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -19,8 +19,11 @@
     Duration memberSilence = 2000ms;
     /// How often this VM considers which upstreams to take or give up.
     Duration assignmentInterval = 250ms;
-    /// After the start others are given this long to show up, so that they get their share.
+    /// After the start others are given at most this long to show up, so that they get their
+    /// share.
     Duration settleTime = 1500ms;
+    /// Another zone counts as reachable this long after an upstream there was reached.
+    Duration zoneReachedFor = 2000ms;
     /// An upstream whose row vanished is still used this long, as rows may lapse while the store
     /// is away and come back within 2 s (platform's statement).
     Duration unlistedUse = 2500ms;
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -66,6 +66,9 @@
     void readFailed() { m_lastRead.reset(); }
     void setLink(const VmId &vm, bool up);
 
+    /// True if each row has changed since it was first read, and there is more than one.
+    bool haveAllChanged() const;
+
     bool isAlive(const VmId &vm, Incarnation incarnation) const;
     /// Alive members and their rows.
     std::map<VmId, MemberRow> alive() const;
@@ -78,6 +81,7 @@
         /// Time without a change, counted over successful reads only.
         Duration unchanged{};
         bool linked = false;
+        bool hasChanged = false;
     };
     bool isAlive(const Member &member) const
     {
--- a/include/rattandock/fleet/run_times.hpp
+++ b/include/rattandock/fleet/run_times.hpp
@@ -25,6 +25,8 @@
     Duration expected(const UpstreamId &upstream, const std::string &kind, Duration estimate) const;
     /// Mean factor over all kinds.
     double meanFactor() const;
+    /// Factor of the fastest kind that is known well.
+    double fastestFactor() const;
     void forget(const UpstreamId &upstream) { m_upstreams.erase(upstream); }
 
 private:
--- a/include/rattandock/ports/upstream_orders.hpp
+++ b/include/rattandock/ports/upstream_orders.hpp
@@ -30,6 +30,8 @@
                                     const fleet::StopOrder &order) = 0;
     virtual LookReply look(const boost::asio::ip::tcp::endpoint &upstream,
                            const fleet::LookOrder &order) = 0;
+    /// Whether a connection can be made.
+    virtual bool isReachable(const boost::asio::ip::tcp::endpoint &upstream) = 0;
 };
 
 } // namespace rattandock::ports
--- a/src/rattandock/adapters/http_connections.cpp
+++ b/src/rattandock/adapters/http_connections.cpp
@@ -77,6 +77,39 @@
     return nullptr;
 }
 
+std::unique_ptr<HttpConnections::Connection>
+HttpConnections::open(const tcp::endpoint &server, std::chrono::steady_clock::time_point deadline,
+                      boost::system::error_code &ec)
+{
+    auto connection = std::make_unique<Connection>();
+    ++m_opened;
+    m_busy.push_back(connection.get());
+    connection->stream.expires_at(deadline);
+    const IoEnd end = awaitIo(
+            [&](auto handle) { connection->stream.async_connect(server, handle); });
+    std::erase(m_busy, connection.get());
+    ec = end.ec;
+    if (ec) {
+        return nullptr;
+    }
+    beast::error_code ignored;
+    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    return connection;
+}
+
+bool HttpConnections::connect(const tcp::endpoint &server, Duration limit)
+{
+    boost::system::error_code ec;
+    auto connection =
+            m_isShutDown ? nullptr : open(server, std::chrono::steady_clock::now() + limit, ec);
+    if (!connection) {
+        return false;
+    }
+    connection->stream.expires_never();
+    m_idle[server].push_back(std::move(connection));
+    return true;
+}
+
 HttpClientResult HttpConnections::exchange(const tcp::endpoint &server, const HttpRequest &request,
                                            Duration limit)
 {
@@ -85,24 +118,16 @@
     }
     const auto deadline = std::chrono::steady_clock::now() + limit;
     std::unique_ptr<Connection> connection = takeIdle(server);
-    const bool isNew = !connection;
-    if (isNew) {
-        connection = std::make_unique<Connection>();
-        ++m_opened;
+    if (!connection) {
+        boost::system::error_code ec;
+        connection = open(server, deadline, ec);
+        if (!connection) {
+            return HttpClientError{ec, false};
+        }
     }
     m_busy.push_back(connection.get());
     const auto leave = [&] { std::erase(m_busy, connection.get()); };
     beast::tcp_stream &stream = connection->stream;
-    stream.expires_at(deadline);
-    if (isNew) {
-        const IoEnd end = awaitIo([&](auto handle) { stream.async_connect(server, handle); });
-        if (end.ec) {
-            leave();
-            return HttpClientError{end.ec, false};
-        }
-        beast::error_code ignored;
-        stream.socket().set_option(tcp::no_delay(true), ignored);
-    }
     const std::string text = requestText(server, request);
     stream.expires_at(deadline);
     const IoEnd written = awaitIo(
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -128,6 +128,7 @@
                                           it.message);
                               },
                               [&](fleet::WriteKeepers &it) { m_writeKeepers(it); },
+                              [&](fleet::ProbeUpstream &it) { probe(std::move(it)); },
                               [&](fleet::FleetNote &it) { m_history.note(it, now); }},
                    action);
     }
@@ -182,6 +183,14 @@
     });
 }
 
+void FleetLoop::probe(fleet::ProbeUpstream order)
+{
+    adapters::spawnFiber([this, order = std::move(order)] {
+        const auto address = adapters::parseEndpoint(order.address);
+        post(fleet::UpstreamProbed{order.zone, address && m_orders.isReachable(*address)});
+    });
+}
+
 std::optional<fleet::JobEnd>
 FleetLoop::submit(fleet::FleetJob job,
                   const std::function<void(std::function<void()> onClosed)> &watchClose)
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -26,6 +26,12 @@
 /// Wait of a call for changes. A connection that went silent shows after it, and a configuration
 /// must be in force after 2 s.
 constexpr Duration changesWait = std::chrono::milliseconds{1500};
+/// The upstreams' rows change all the time, as each writes its state, so they are read at an
+/// interval. A draining upstream must get no new work after 2 s.
+constexpr Duration upstreamsInterval = std::chrono::milliseconds{500};
+/// Beats of the first seconds, so that VMs that start together soon know of each other.
+constexpr Duration firstBeatInterval = std::chrono::milliseconds{150};
+constexpr std::uint64_t firstBeats = 10;
 /// Pause after a failed call.
 constexpr Duration retryPause = std::chrono::milliseconds{250};
 
@@ -47,16 +53,17 @@
     m_onMembers = std::move(onMembers);
     spawn([this] { beat(); });
     spawn([this] {
-        follow({m_format.operatorTable, [this] { return m_store.read(m_format.operatorTable, ""); },
+        follow({m_format.operatorTable, changesWait, Duration{},
+                [this] { return m_store.read(m_format.operatorTable, ""); },
                 [this](const auto &rows, bool) { takeConfiguration(rows); }});
     });
     spawn([this] {
-        follow({m_format.upstreamsTable,
+        follow({m_format.upstreamsTable, Duration{}, upstreamsInterval,
                 [this] { return m_store.read(m_format.upstreamsTable, ""); },
                 [this](const auto &rows, bool isWhole) { takeUpstreams(rows, isWhole); }});
     });
     spawn([this] {
-        follow({keepersTable, [this] { return readKeepers(); },
+        follow({keepersTable, changesWait, Duration{}, [this] { return readKeepers(); },
                 [this](const auto &rows, bool isWhole) { takeKeepers(rows, isWhole); }});
     });
 }
@@ -106,7 +113,7 @@
     bool readsWhole = true;
     while (!m_isStopping) {
         const ports::ReadResult result =
-                readsWhole ? table.readWhole() : m_store.changes(table.name, version, changesWait);
+                readsWhole ? table.readWhole() : m_store.changes(table.name, version, table.wait);
         if (const auto *const failure = std::get_if<StoreFailure>(&result)) {
             if (*failure == StoreFailure::HistoryGone) {
                 log(LogLevel::Info, LogPart::Platform,
@@ -125,6 +132,9 @@
             table.take(rows.rows, readsWhole);
         }
         readsWhole = false;
+        if (table.interval > Duration{}) {
+            pause(table.interval);
+        }
     }
 }
 
@@ -156,7 +166,7 @@
             m_onMembers(rows);
             m_loop.post(fleet::MembersRead{std::move(rows)});
         }
-        pause(beatInterval);
+        pause(m_self.beat <= firstBeats ? firstBeatInterval : beatInterval);
     }
 }
 
--- a/src/rattandock/fleet/admission.cpp
+++ b/src/rattandock/fleet/admission.cpp
@@ -10,6 +10,8 @@
 constexpr double usablePart = 0.85;
 /// A job may be this much beyond its objective by the prediction, which is rough.
 constexpr double objectiveSlack = 1.5;
+/// Wait for the first upstreams after a start.
+constexpr Duration startingWait = std::chrono::milliseconds{500};
 /// Bounds of the advice when to return.
 constexpr Duration minRetryAfter = std::chrono::milliseconds{200};
 constexpr Duration maxRetryAfter = std::chrono::seconds{5};
@@ -19,7 +21,8 @@
 std::optional<Duration> refusalRetryAfter(const AdmissionView &view)
 {
     if (view.usableCpu == 0) {
-        return std::chrono::seconds{1};
+        const bool canWait = view.isStarting && view.longest + startingWait <= view.untilDeadline;
+        return canWait ? std::nullopt : std::optional<Duration>{std::chrono::seconds{1}};
     }
     if (view.longest > view.untilDeadline) {
         // No room helps: the caller does not wait long enough for the run itself.
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -22,7 +22,7 @@
 {
     if (!m_startedAt) {
         m_startedAt = now;
-        m_nextAssignment = now + m_options.settleTime;
+        m_nextAssignment = now + m_options.assignmentInterval;
     }
     std::visit([&](const auto &it) { on(it, now, actions); }, event);
     if (now >= m_nextHousekeeping) {
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -18,6 +18,8 @@
 /// A run may take this part of its expected time; below it a caller is not sent away for its
 /// estimate alone.
 constexpr double shortestPart = 0.6;
+/// Upstreams are kept and answer about this long after a start.
+constexpr Duration startingTime = std::chrono::milliseconds{1000};
 /// A stopping VM takes jobs on open connections only while they can end before it does.
 constexpr Duration stoppingReserve = std::chrono::milliseconds{2000};
 
@@ -106,7 +108,8 @@
     view.usableCpu = usableCpu(now);
     view.ahead = queuedWork(now + job.objective - expected) + m_shared.queuedWork();
     view.fitsNow = view.ahead == 0 && placesFor(job, now) >= job.taskCount;
-    view.longest = scaled(expected, shortestPart);
+    view.longest = scaled(fastestRun(job), shortestPart);
+    view.isStarting = !isSettled(now) || now - *m_startedAt < startingTime;
     view.work = workOf(job, job.taskCount, expected);
     view.untilObjective = job.objective;
     view.untilDeadline = job.deadline - m_options.answerMargin;
@@ -341,7 +344,7 @@
 {
     std::vector<JobNumber> hopeless;
     for (const auto &[number, job] : m_jobs) {
-        const Duration shortest = job.waiting > 0 ? scaled(expectedRun(job.spec), shortestPart)
+        const Duration shortest = job.waiting > 0 ? scaled(fastestRun(job.spec), shortestPart)
                                                   : Duration{};
         if (now + shortest >= job.deadline) {
             hopeless.push_back(number);
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -33,6 +33,11 @@
     return scaled(job.estimate, m_times.meanFactor());
 }
 
+Duration FleetDispatcher::fastestRun(const FleetJob &job) const
+{
+    return scaled(job.estimate, m_times.fastestFactor());
+}
+
 std::vector<JobNumber> FleetDispatcher::waitingInOrder(TimePoint now) const
 {
     // Begun jobs first, then by the last moment to start in time; late ones after all others, the
@@ -43,7 +48,7 @@
         if (job.waiting == 0) {
             continue;
         }
-        const TimePoint latestStart = job.objective - expectedRun(job.spec);
+        const TimePoint latestStart = job.objective - fastestRun(job.spec);
         const bool isLate = latestStart < now;
         const int rank = isLate ? 2 : job.hasStarted ? 0 : 1;
         const Duration::rep key =
@@ -155,7 +160,8 @@
             return;
         }
         TaskOffer offer{m_nextOffer++, job.spec, {}, 1};
-        offer.job.deadline = job.deadline - now;
+        // The receiver takes the margin off again; else it would give up before this VM does.
+        offer.job.deadline = job.deadline - now + m_options.answerMargin;
         offer.job.objective = job.objective - now;
         Offer &record = m_offers[offer.number];
         record.vm = share->vm;
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -129,9 +129,8 @@
 
 void FleetDispatcher::considerAssignment(TimePoint now, FleetActions &actions)
 {
-    const bool isSettled = now - *m_startedAt >= m_options.settleTime;
     const MemberRow *const self = m_members.find(m_options.vm);
-    if (!m_hasMembers || !m_hasKeepers || !m_hasUpstreams || !isSettled || self == nullptr) {
+    if (!m_hasMembers || !m_hasKeepers || !m_hasUpstreams || !isSettled(now) || self == nullptr) {
         return;
     }
     AssignmentView view{m_options.vm, m_options.incarnation, m_members.alive(), {}, m_keepers};
@@ -158,7 +157,40 @@
     std::vector<UpstreamId> claimed;
     std::ranges::copy_if(decision.claim, std::back_inserter(claimed),
                          [&](const UpstreamId &it) { return m_listed.contains(it); });
-    writeKeepers(claimed, true, now, actions);
+    writeKeepers(reachable(claimed, now, actions), true, now, actions);
+}
+
+bool FleetDispatcher::isSettled(TimePoint now) const
+{
+    return now - *m_startedAt >= m_options.settleTime || m_members.haveAllChanged();
+}
+
+std::vector<UpstreamId> FleetDispatcher::reachable(const std::vector<UpstreamId> &upstreams,
+                                                   TimePoint now, FleetActions &actions)
+{
+    // When all VMs of a zone fall silent, the zone may be cut off and go on serving its upstreams.
+    // Taking them from it would end what they run as soon as the cut heals, and serve nobody.
+    std::vector<UpstreamId> result;
+    for (const UpstreamId &it : upstreams) {
+        const UpstreamEntry &entry = m_listed.at(it).entry;
+        const auto reached = m_zoneReached.find(entry.zone);
+        if (entry.zone == m_options.zone
+            || (reached != m_zoneReached.end()
+                && now - reached->second < m_options.zoneReachedFor)) {
+            result.push_back(it);
+        } else if (m_probing.insert(entry.zone).second) {
+            actions.emplace_back(ProbeUpstream{entry.zone, entry.address});
+        }
+    }
+    return result;
+}
+
+void FleetDispatcher::on(const UpstreamProbed &event, TimePoint now, FleetActions & /*actions*/)
+{
+    m_probing.erase(event.zone);
+    if (event.isReachable) {
+        m_zoneReached[event.zone] = now;
+    }
 }
 
 void FleetDispatcher::writeKeepers(const std::vector<UpstreamId> &upstreams, bool claim,
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -14,10 +14,12 @@
 
 void Membership::see(const MemberRow &row, TimePoint /*now*/)
 {
-    Member &member = m_members[row.vm];
+    const auto [it, isNew] = m_members.try_emplace(row.vm);
+    Member &member = it->second;
     const bool changed = member.row.beat != row.beat || member.row.incarnation != row.incarnation;
     if (changed) {
         member.unchanged = {};
+        member.hasChanged = member.hasChanged || !isNew;
     }
     member.row = row;
 }
@@ -45,6 +47,12 @@
     }
 }
 
+bool Membership::haveAllChanged() const
+{
+    return m_members.size() > 1
+           && std::ranges::all_of(m_members, [](const auto &it) { return it.second.hasChanged; });
+}
+
 bool Membership::isAlive(const VmId &vm, Incarnation incarnation) const
 {
     const auto it = m_members.find(vm);
--- a/src/rattandock/fleet/run_times.cpp
+++ b/src/rattandock/fleet/run_times.cpp
@@ -15,6 +15,9 @@
 /// Bounds what one run can teach.
 constexpr double maxLogFactor = 3.0;
 
+/// Runs after which the mean of a kind is trusted.
+constexpr double knownSamples = 10;
+
 double logFactorOf(Duration estimate, Duration elapsed)
 {
     const double factor =
@@ -65,6 +68,17 @@
                                                * factor(upstream, kind))};
 }
 
+double RunTimes::fastestFactor() const
+{
+    double fastest = m_all.logFactor;
+    for (const auto &[kind, mean] : m_kinds) {
+        if (mean.samples >= knownSamples) {
+            fastest = std::min(fastest, mean.logFactor);
+        }
+    }
+    return std::exp(fastest);
+}
+
 double RunTimes::meanFactor() const
 {
     return std::exp(m_all.logFactor);
