Let long tasks wait for fast upstreams and give short ones the slowest in time

Change: a task takes the slowest upstream that meets its objective; a long one waits for an upstream on which 1.5 times its expected time is left. Heartbeats name the speed of free room.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -157,6 +157,8 @@
     void dispatchJob(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
     bool startHere(JobNumber number, Job &job, std::size_t index, TimePoint now,
                    FleetActions &actions);
+    /// Upstreams with a larger time percent would not end the job's tasks in time.
+    std::uint32_t slowestUsefulPercent(const Job &job, TimePoint now) const;
     void offerWaiting(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
     std::vector<JobNumber> waitingInOrder(TimePoint now) const;
     Duration expectedRun(const FleetJob &job) const;
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -7,11 +7,24 @@
 
 namespace rattandock::fleet {
 
+/// Room that one upstream has left.
+struct FreeRoom
+{
+    /// Thousandths of a core.
+    std::uint32_t cpu = 0;
+    /// Run times there in percent of the callers' estimates.
+    std::uint32_t timePercent = 100;
+
+    friend bool operator==(const FreeRoom &, const FreeRoom &) = default;
+};
+
 /// Room at the sender, sent with each heartbeat.
 struct RoomReport
 {
-    /// Thousandths of a core that are free, one entry for each upstream with some.
-    std::vector<std::uint32_t> freeCpu;
+    /// Upstreams with free room.
+    std::vector<FreeRoom> free;
+    /// Least time percent of all upstreams that take work, free or not; 0 if there are none.
+    std::uint32_t fastestPercent = 0;
     /// Thousandths of a core of all upstreams that take work.
     std::uint64_t usableCpu = 0;
     /// Work of the tasks that wait, in thousandths of a core times microseconds.
--- a/include/rattandock/fleet/placement.hpp
+++ b/include/rattandock/fleet/placement.hpp
@@ -24,16 +24,22 @@
     /// Time left until the answer counts as late, and until the caller gives up.
     Duration untilObjective{};
     Duration untilDeadline{};
-    /// Less than half of the room is free.
-    bool roomIsScarce = false;
+    /// Expected run time on the fastest upstream of the fleet, free or not.
+    Duration fastest{};
 };
 
-/// Picks the upstream for one task; nothing if it could not end before the deadline on any.
+/// A run is safe if this multiple of its expected time is left before the deadline: run times
+/// spread by 40% about the estimates, so one of six runs takes longer.
+inline constexpr double safeFactor = 1.5;
+
+/// Picks the upstream for one task; nothing if the task should wait for a faster one, or could not
+/// end before the deadline on any.
 ///
-/// Load pattern: tasks of 27 of 64 or 96 cores on upstreams whose speeds differ by more than two.
-/// While room is scarce, the slowest upstream that is still in time is taken, so that fast ones
-/// stay free for tasks that need them; else the fastest. Among upstreams of like speed the one
-/// with the least room left is taken, so that large holes stay whole.
+/// Load pattern: tasks of 27 of 64 or 96 cores on upstreams whose speeds differ by more than two,
+/// and a few long tasks that end in time only on the fast ones. The slowest upstream that is still
+/// in time is taken, so that fast ones stay free for tasks that need them. A long task waits for a
+/// fast upstream while that is safe. Among upstreams of like speed the one with the least room
+/// left is taken, so that large holes stay whole.
 std::optional<std::size_t> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                            const PlacementNeed &need);
 
--- a/include/rattandock/fleet/run_times.hpp
+++ b/include/rattandock/fleet/run_times.hpp
@@ -25,7 +25,7 @@
     Duration expected(const UpstreamId &upstream, const std::string &kind, Duration estimate) const;
     /// Mean factor over all kinds.
     double meanFactor() const;
-    /// Factor of the fastest kind that is known well.
+    /// Factor of the fastest upstream that is known well.
     double fastestFactor() const;
     void forget(const UpstreamId &upstream) { m_upstreams.erase(upstream); }
 
--- a/include/rattandock/fleet/sharing.hpp
+++ b/include/rattandock/fleet/sharing.hpp
@@ -30,6 +30,8 @@
     /// The peer had no room after all.
     void clear(const VmId &vm);
 
+    /// Least time percent of any upstream of the peers; 0 if none is known.
+    std::uint32_t fastestPercent() const;
     /// Tasks of this size that fit at peers now.
     std::size_t placesFor(MilliCores cpu) const;
     std::uint64_t usableCpu() const;
@@ -40,8 +42,9 @@
         VmId vm;
         std::size_t tasks = 0;
     };
-    /// Picks a peer for up to `count` tasks and takes the room; nothing if none has any.
-    std::optional<Share> take(MilliCores cpu, std::size_t count);
+    /// Picks a peer for up to `count` tasks and takes the room; nothing if none has any on
+    /// upstreams that are at least as fast as `maxPercent`.
+    std::optional<Share> take(MilliCores cpu, std::size_t count, std::uint32_t maxPercent);
 
 private:
     struct Peer
@@ -49,7 +52,7 @@
         ZoneId zone;
         RoomReport room;
     };
-    static std::size_t places(const Peer &peer, MilliCores cpu);
+    static std::size_t places(const Peer &peer, MilliCores cpu, std::uint32_t maxPercent);
 
     ZoneId m_zone;
     std::map<VmId, Peer> m_peers;
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -24,11 +24,18 @@
                     draining, room);
 }
 
+template <Is<fleet::FreeRoom> T>
+auto fields(T &it)
+{
+    auto &[cpu, timePercent] = it;
+    return std::tie(cpu, timePercent);
+}
+
 template <Is<fleet::RoomReport> T>
 auto fields(T &it)
 {
-    auto &[freeCpu, usableCpu, queuedWork] = it;
-    return std::tie(freeCpu, usableCpu, queuedWork);
+    auto &[free, fastestPercent, usableCpu, queuedWork] = it;
+    return std::tie(free, fastestPercent, usableCpu, queuedWork);
 }
 
 template <Is<fleet::Room> T>
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -144,7 +144,8 @@
                                shortNumber(),
                                shortNumber(),
                                below(2) == 1,
-                               {listOf(shortNumber), number(), number()}};
+                               {listOf([] { return fleet::FreeRoom{shortNumber(), shortNumber()}; }),
+                                shortNumber(), number(), number()}};
     case 1:
         return core::ForwardJob{number(), Incarnation{number()}, job()};
     case 2:
@@ -192,7 +193,8 @@
     const auto &[vm, incarnation, zone, time, configuration, queued, running, draining, room] = a;
     return vm == b.vm && incarnation == b.incarnation && zone == b.zone && time == b.monotonicTime
            && configuration == b.configuration && queued == b.queuedTasks
-           && running == b.runningTasks && draining == b.draining && room.freeCpu == b.room.freeCpu
+           && running == b.runningTasks && draining == b.draining && room.free == b.room.free
+           && room.fastestPercent == b.room.fastestPercent
            && room.usableCpu == b.room.usableCpu && room.queuedWork == b.room.queuedWork;
 }
 
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -25,10 +25,10 @@
 constexpr Duration beatInterval = std::chrono::milliseconds{700};
 /// Wait of a call for changes. A connection that went silent shows after it, and a configuration
 /// must be in force after 2 s.
-constexpr Duration changesWait = std::chrono::milliseconds{1500};
+constexpr Duration changesWait = std::chrono::milliseconds{2000};
 /// The upstreams' rows change all the time, as each writes its state, so they are read at an
 /// interval. A draining upstream must get no new work after 2 s.
-constexpr Duration upstreamsInterval = std::chrono::milliseconds{500};
+constexpr Duration upstreamsInterval = std::chrono::milliseconds{800};
 /// Beats of the first seconds, so that VMs that start together soon know of each other.
 constexpr Duration firstBeatInterval = std::chrono::milliseconds{150};
 constexpr std::uint64_t firstBeats = 10;
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -79,9 +79,15 @@
         if (!mayPlaceOn(kept, now)) {
             continue;
         }
-        report.usableCpu += kept.ledger.entry().capacity.cpu.value();
+        const UpstreamEntry &entry = kept.ledger.entry();
+        const auto percent =
+                static_cast<std::uint32_t>(100 * m_times.factor(id, kindOf(entry)));
+        report.usableCpu += entry.capacity.cpu.value();
+        report.fastestPercent = report.fastestPercent == 0
+                                        ? percent
+                                        : std::min(report.fastestPercent, percent);
         if (const std::uint32_t free = kept.ledger.free().cpu.value(); free > 0) {
-            report.freeCpu.push_back(free);
+            report.free.push_back({free, percent});
         }
     }
     report.queuedWork = static_cast<std::uint64_t>(queuedWork(TimePoint::max()));
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -1,6 +1,7 @@
 // How a FleetDispatcher starts, offers, repeats and ends the runs of its jobs.
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <tuple>
 
 #include "rattandock/fleet/fleet_dispatcher.hpp"
@@ -35,7 +36,9 @@
 
 Duration FleetDispatcher::fastestRun(const FleetJob &job) const
 {
-    return scaled(job.estimate, m_times.fastestFactor());
+    const double own = m_times.fastestFactor();
+    const double others = m_shared.fastestPercent() / 100.0;
+    return scaled(job.estimate, others > 0 ? std::min(own, others) : own);
 }
 
 std::vector<JobNumber> FleetDispatcher::waitingInOrder(TimePoint now) const
@@ -94,16 +97,12 @@
 {
     std::vector<PlacementCandidate> candidates;
     std::vector<Kept *> kept;
-    std::uint64_t usable = 0;
-    std::uint64_t free = 0;
     for (auto &[id, it] : m_kept) {
         const UpstreamEntry &entry = it.ledger.entry();
         if (entry.service != job.spec.service || !mayPlaceOn(it, now)) {
             continue;
         }
         const Room room = it.ledger.free();
-        usable += entry.capacity.cpu.value();
-        free += room.cpu.value();
         if (!room.holds(job.spec.need) || !hasLabel(entry, job.spec)) {
             continue;
         }
@@ -119,7 +118,7 @@
         kept.push_back(&it);
     }
     const auto choice = choosePlacement(
-            candidates, {job.objective - now, job.deadline - now, free * 2 < usable});
+            candidates, {job.objective - now, job.deadline - now, fastestRun(job.spec)});
     if (!choice) {
         return false;
     }
@@ -144,6 +143,20 @@
     return true;
 }
 
+std::uint32_t FleetDispatcher::slowestUsefulPercent(const Job &job, TimePoint now) const
+{
+    const auto estimate = static_cast<double>(job.spec.estimate.count());
+    const auto left = static_cast<double>((job.deadline - now).count());
+    if (estimate <= 0) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    // As in choosePlacement(): safe where it can be, else just before the deadline.
+    const bool canBeSafe =
+            safeFactor * static_cast<double>(fastestRun(job.spec).count()) <= left;
+    const double percent = 100 * left / estimate / (canBeSafe ? safeFactor : 1.0);
+    return static_cast<std::uint32_t>(std::clamp(percent, 0.0, 1e6));
+}
+
 void FleetDispatcher::offerWaiting(JobNumber number, Job &job, TimePoint now,
                                    FleetActions &actions)
 {
@@ -153,9 +166,11 @@
             waiting.push_back(n);
         }
     }
+    const std::uint32_t maxPercent = slowestUsefulPercent(job, now);
     std::size_t next = 0;
     while (next < waiting.size()) {
-        const auto share = m_shared.take(job.spec.need.cpu, waiting.size() - next);
+        const auto share =
+                m_shared.take(job.spec.need.cpu, waiting.size() - next, maxPercent);
         if (!share) {
             return;
         }
--- a/src/rattandock/fleet/placement.cpp
+++ b/src/rattandock/fleet/placement.cpp
@@ -7,15 +7,12 @@
 
 namespace {
 
-/// Part of the expected time added for safety: run times spread by 40% about their estimate.
-constexpr double timeMargin = 1.25;
 /// Expected times within this factor count as alike.
 constexpr double likeFactor = 1.25;
 
-Duration withMargin(Duration expected)
+bool isSafe(Duration expected, Duration left)
 {
-    return Duration{
-            static_cast<Duration::rep>(static_cast<double>(expected.count()) * timeMargin)};
+    return safeFactor * static_cast<double>(expected.count()) <= static_cast<double>(left.count());
 }
 
 int speedClass(Duration expected)
@@ -32,13 +29,15 @@
     using Rank = std::tuple<bool, int, std::uint32_t>;
     std::optional<std::size_t> best;
     Rank bestRank;
+    const bool canBeSafe = isSafe(need.fastest, need.untilDeadline);
     for (const PlacementCandidate &it : candidates) {
-        if (it.expected > need.untilDeadline) {
+        if (it.expected > need.untilDeadline
+            || (canBeSafe && !isSafe(it.expected, need.untilDeadline))) {
             continue;
         }
-        const bool isLate = withMargin(it.expected) > need.untilObjective;
+        const bool isLate = it.expected > need.untilObjective;
         const int speed = speedClass(it.expected);
-        const Rank rank{isLate, need.roomIsScarce && !isLate ? -speed : speed, it.cpuLeft};
+        const Rank rank{isLate, isLate ? speed : -speed, it.cpuLeft};
         if (!best || rank < bestRank) {
             best = it.index;
             bestRank = rank;
--- a/src/rattandock/fleet/run_times.cpp
+++ b/src/rattandock/fleet/run_times.cpp
@@ -15,7 +15,7 @@
 /// Bounds what one run can teach.
 constexpr double maxLogFactor = 3.0;
 
-/// Runs after which the mean of a kind is trusted.
+/// Runs after which the mean of an upstream is trusted.
 constexpr double knownSamples = 10;
 
 double logFactorOf(Duration estimate, Duration elapsed)
@@ -71,7 +71,7 @@
 double RunTimes::fastestFactor() const
 {
     double fastest = m_all.logFactor;
-    for (const auto &[kind, mean] : m_kinds) {
+    for (const auto &[upstream, mean] : m_upstreams) {
         if (mean.samples >= knownSamples) {
             fastest = std::min(fastest, mean.logFactor);
         }
--- a/src/rattandock/fleet/sharing.cpp
+++ b/src/rattandock/fleet/sharing.cpp
@@ -1,6 +1,7 @@
 #include "rattandock/fleet/sharing.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace rattandock::fleet {
 
@@ -12,24 +13,36 @@
 void SharedRoom::clear(const VmId &vm)
 {
     if (const auto it = m_peers.find(vm); it != m_peers.end()) {
-        it->second.room.freeCpu.clear();
+        it->second.room.free.clear();
     }
 }
 
-std::size_t SharedRoom::places(const Peer &peer, MilliCores cpu)
+std::size_t SharedRoom::places(const Peer &peer, MilliCores cpu, std::uint32_t maxPercent)
 {
     std::size_t count = 0;
-    for (const std::uint32_t it : peer.room.freeCpu) {
-        count += it / std::max(cpu.value(), 1U);
+    for (const FreeRoom &it : peer.room.free) {
+        count += it.timePercent <= maxPercent ? it.cpu / std::max(cpu.value(), 1U) : 0;
     }
     return count;
 }
 
+std::uint32_t SharedRoom::fastestPercent() const
+{
+    std::uint32_t fastest = 0;
+    for (const auto &[vm, peer] : m_peers) {
+        const std::uint32_t here = peer.room.fastestPercent;
+        if (here > 0 && (fastest == 0 || here < fastest)) {
+            fastest = here;
+        }
+    }
+    return fastest;
+}
+
 std::size_t SharedRoom::placesFor(MilliCores cpu) const
 {
     std::size_t count = 0;
     for (const auto &[vm, peer] : m_peers) {
-        count += places(peer, cpu);
+        count += places(peer, cpu, std::numeric_limits<std::uint32_t>::max());
     }
     return count;
 }
@@ -52,12 +65,13 @@
     return sum;
 }
 
-std::optional<SharedRoom::Share> SharedRoom::take(MilliCores cpu, std::size_t count)
+std::optional<SharedRoom::Share> SharedRoom::take(MilliCores cpu, std::size_t count,
+                                                  std::uint32_t maxPercent)
 {
     const VmId *best = nullptr;
     std::pair<bool, std::size_t> bestRank;
     for (const auto &[vm, peer] : m_peers) {
-        const std::size_t free = places(peer, cpu);
+        const std::size_t free = places(peer, cpu, maxPercent);
         const std::pair rank{peer.zone == m_zone, free};
         if (free > 0 && (best == nullptr || rank > bestRank)) {
             best = &vm;
@@ -68,9 +82,10 @@
         return std::nullopt;
     }
     Share share{*best, 0};
-    for (std::uint32_t &it : m_peers.at(*best).room.freeCpu) {
-        while (share.tasks < count && it >= cpu.value()) {
-            it -= std::max(cpu.value(), 1U);
+    const std::uint32_t size = std::max(cpu.value(), 1U);
+    for (FreeRoom &it : m_peers.at(*best).room.free) {
+        while (share.tasks < count && it.timePercent <= maxPercent && it.cpu >= size) {
+            it.cpu -= size;
             ++share.tasks;
         }
     }
