--- a/include/rattandock/fleet/placement.hpp
+++ b/include/rattandock/fleet/placement.hpp
@@ -29,8 +29,8 @@
 };
 
 /// A run is safe if this multiple of its expected time is left before the deadline: run times
-/// spread by 40% about the estimates, so one of six runs takes longer.
-inline constexpr double safeFactor = 1.5;
+/// spread by 40% about the estimates, so one of 25 runs takes longer than twice its expected time.
+inline constexpr double safeFactor = 2.0;
 
 /// Picks the upstream for one task; nothing if the task should wait for a faster one, or could not
 /// end before the deadline on any.
--- a/src/rattandock/fleet/placement.cpp
+++ b/src/rattandock/fleet/placement.cpp
@@ -37,7 +37,8 @@
         }
         const bool isLate = it.expected > need.untilObjective;
         const int speed = speedClass(it.expected);
-        const Rank rank{isLate, isLate ? speed : -speed, it.cpuLeft};
+        const bool wantsFastest = isLate || !canBeSafe;
+        const Rank rank{isLate, wantsFastest ? speed : -speed, it.cpuLeft};
         if (!best || rank < bestRank) {
             best = it.index;
             bestRank = rank;
