Order waiting jobs by the earlier of objective and deadline

Cause: a long job's objective ends after its caller's deadline, so it was ordered behind short ones until it could not end any more.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -160,6 +160,8 @@
     /// Upstreams with a larger time percent would not end the job's tasks in time.
     std::uint32_t slowestUsefulPercent(const Job &job, TimePoint now) const;
     void offerWaiting(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    /// The last moment at which the job's tasks can start and probably end in time.
+    TimePoint latestStartOf(const Job &job) const;
     std::vector<JobNumber> waitingInOrder(TimePoint now) const;
     Duration expectedRun(const FleetJob &job) const;
     /// Expected run time of one task on the fastest kind of upstream.
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -13,6 +13,8 @@
 
 /// A run away from its data may take this much longer; the platform's figures are 1.5 to 3.
 constexpr double farFactor = 2.0;
+/// Part of the expected time kept before a caller's deadline: run times spread by 40%.
+constexpr double deadlineMargin = 0.4;
 /// Jobs that one round of starts looks at, so that a long queue does not slow each event.
 constexpr std::size_t maxJobsPerRound = 100;
 
@@ -41,6 +43,13 @@
     return scaled(job.estimate, others > 0 ? std::min(own, others) : own);
 }
 
+TimePoint FleetDispatcher::latestStartOf(const Job &job) const
+{
+    // A long job can be in time by its objective and yet miss its caller's deadline.
+    const Duration run = fastestRun(job.spec);
+    return std::min(job.objective, job.deadline - scaled(run, deadlineMargin)) - run;
+}
+
 std::vector<JobNumber> FleetDispatcher::waitingInOrder(TimePoint now) const
 {
     // Begun jobs first, then by the last moment to start in time; late ones after all others, the
@@ -51,7 +60,7 @@
         if (job.waiting == 0) {
             continue;
         }
-        const TimePoint latestStart = job.objective - fastestRun(job.spec);
+        const TimePoint latestStart = latestStartOf(job);
         const bool isLate = latestStart < now;
         const int rank = isLate ? 2 : job.hasStarted ? 0 : 1;
         const Duration::rep key =
