--- a/bench/peer_bench.cpp
+++ b/bench/peer_bench.cpp
@@ -43,8 +43,15 @@
 
 core::Heartbeat heartbeatOf(const std::string &vm)
 {
-    return {VmId{vm}, Incarnation{1}, ZoneId{"zone-1"}, 123'456'789, ConfigurationVersion{1}, 100,
-            200,      false};
+    return {VmId{vm},
+            Incarnation{1},
+            ZoneId{"zone-1"},
+            123'456'789,
+            ConfigurationVersion{1},
+            100,
+            200,
+            false,
+            {}};
 }
 
 core::ForwardJob jobOf(std::size_t tasks, std::size_t payloadBytes)
--- a/include/rattandock/app/event_history.hpp
+++ b/include/rattandock/app/event_history.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <deque>
 #include <map>
 #include <string>
@@ -53,13 +54,24 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
-    struct Line
+    /// How a kind of decision is logged and listed.
+    struct Kind
     {
+        std::string_view event;
+        std::size_t order = 0;
         adapters::LogLevel level{};
         adapters::LogPart part{};
     };
-    void record(std::string_view event, std::string_view reason, const JobId &job,
-                const std::string &detail, Line line, TimePoint now);
+    struct CountKey
+    {
+        std::size_t order = 0;
+        std::string_view event;
+        std::string reason;
+
+        friend auto operator<=>(const CountKey &, const CountKey &) = default;
+    };
+    void record(const Kind &kind, std::string_view reason, const JobId &job,
+                const std::string &detail, TimePoint now);
     void forgetOldest();
 
     adapters::Metrics &m_metrics;
@@ -69,7 +81,7 @@
     std::uint64_t m_firstNumber = 0;
     /// Numbers of the kept entries of each job, oldest first.
     std::unordered_map<JobId, std::deque<std::uint64_t>> m_numbersOf;
-    std::map<std::pair<std::string_view, std::string>, std::uint64_t, std::less<>> m_counts;
+    std::map<CountKey, std::uint64_t> m_counts;
 };
 
 } // namespace rattandock::app
--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -2,9 +2,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
-#include <memory>
 #include <string>
 
 #include "rattandock/adapters/io_threads.hpp"
--- a/include/rattandock/core/peer_message.hpp
+++ b/include/rattandock/core/peer_message.hpp
@@ -113,10 +113,10 @@
     std::string changes;
 };
 
-using PeerMessage = std::variant<Heartbeat, ForwardJob, ForwardedAnswer, SlotRequest, SlotGrant,
-                                 SlotRelease, HandoverRecords, HandoverPointer, ConfigurationDelta,
-                                 fleet::TaskOffer, fleet::TaskOfferEnded,
-                                 fleet::TaskOfferWithdrawn>;
+using PeerMessage =
+        std::variant<Heartbeat, ForwardJob, ForwardedAnswer, SlotRequest, SlotGrant, SlotRelease,
+                     HandoverRecords, HandoverPointer, ConfigurationDelta, fleet::TaskOffer,
+                     fleet::TaskOfferEnded, fleet::TaskOfferWithdrawn>;
 
 /// The stable name of the message's type, used in metrics and logs.
 std::string_view name(const PeerMessage &message);
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -144,9 +144,10 @@
 {
 };
 
-using FleetEvent = std::variant<JobArrived, CallerGone, UpstreamsSeen, MembersRead, KeepersRead,
-                                KeepersWritten, StartAnswered, StopAnswered, LookAnswered,
-                                LookFailed, PeerLink, PeerRoomSeen, OfferArrived, OfferEnded,
-                                OfferWithdrawn, UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
+using FleetEvent =
+        std::variant<JobArrived, CallerGone, UpstreamsSeen, MembersRead, KeepersRead,
+                     KeepersWritten, StartAnswered, StopAnswered, LookAnswered, LookFailed,
+                     PeerLink, PeerRoomSeen, OfferArrived, OfferEnded, OfferWithdrawn,
+                     UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/run_name.hpp
+++ b/include/rattandock/fleet/run_name.hpp
@@ -26,8 +26,8 @@
 {
     std::size_t operator()(const rattandock::fleet::RunName &it) const
     {
-        const std::uint64_t place = (std::uint64_t{it.occurrence} << 40U)
-                                    ^ (std::uint64_t{it.step} << 20U) ^ it.task;
+        const std::uint64_t place =
+                (std::uint64_t{it.occurrence} << 40U) ^ (std::uint64_t{it.step} << 20U) ^ it.task;
         return std::hash<std::string>{}(it.job) ^ (place * 0x9E3779B97F4A7C15U);
     }
 };
--- a/include/rattandock/fleet/submission.hpp
+++ b/include/rattandock/fleet/submission.hpp
@@ -61,7 +61,7 @@
 
 /// The job for the dispatcher, or why it cannot be served.
 /// Precondition: the queue is the one that the submission was sent to.
-std::variant<FleetJob, Unsupported> fleetJobOf(const Submission &submission,
-                                               const QueueSpec &queue, Duration callerWaits);
+std::variant<FleetJob, Unsupported> fleetJobOf(const Submission &submission, const QueueSpec &queue,
+                                               Duration callerWaits);
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -6,9 +6,9 @@
 #include <variant>
 #include <vector>
 
-#include "rattandock/fleet/task_ref.hpp"
 #include "rattandock/fleet/lease_times.hpp"
 #include "rattandock/fleet/run_report.hpp"
+#include "rattandock/fleet/task_ref.hpp"
 #include "rattandock/fleet/upstream_entry.hpp"
 
 namespace rattandock::fleet {
@@ -91,8 +91,8 @@
     std::size_t runsOf(JobNumber job) const;
 
     /// Reserves room. Precondition: takesOrders(), free() holds the need.
-    void startSent(const TaskRef &task, const RunName &name, RunNumber number,
-                   const Room &need, TimePoint now);
+    void startSent(const TaskRef &task, const RunName &name, RunNumber number, const Room &need,
+                   TimePoint now);
     FencingToken token() const;
     /// End of a lease given now, on the upstream's clock. Precondition: a report has come.
     UpstreamTime leaseUntil(TimePoint now) const;
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -18,8 +18,8 @@
 template <Is<core::Heartbeat> T>
 auto fields(T &it)
 {
-    auto &[vm, incarnation, zone, monotonicTime, configuration, queuedTasks, runningTasks,
-           draining, room] = it;
+    auto &[vm, incarnation, zone, monotonicTime, configuration, queuedTasks, runningTasks, draining,
+           room] = it;
     return std::tie(vm, incarnation, zone, monotonicTime, configuration, queuedTasks, runningTasks,
                     draining, room);
 }
--- a/src/rattandock/adapters/http_connections.cpp
+++ b/src/rattandock/adapters/http_connections.cpp
@@ -85,8 +85,8 @@
     ++m_opened;
     m_busy.push_back(connection.get());
     connection->stream.expires_at(deadline);
-    const IoEnd end = awaitIo(
-            [&](auto handle) { connection->stream.async_connect(server, handle); });
+    const IoEnd end =
+            awaitIo([&](auto handle) { connection->stream.async_connect(server, handle); });
     std::erase(m_busy, connection.get());
     ec = end.ec;
     if (ec) {
@@ -130,8 +130,8 @@
     beast::tcp_stream &stream = connection->stream;
     const std::string text = requestText(server, request);
     stream.expires_at(deadline);
-    const IoEnd written = awaitIo(
-            [&](auto handle) { asio::async_write(stream, asio::buffer(text), handle); });
+    const IoEnd written =
+            awaitIo([&](auto handle) { asio::async_write(stream, asio::buffer(text), handle); });
     if (written.ec) {
         leave();
         return HttpClientError{written.ec, written.bytes > 0};
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -144,7 +144,9 @@
                                shortNumber(),
                                shortNumber(),
                                below(2) == 1,
-                               {listOf([] { return fleet::FreeRoom{shortNumber(), shortNumber()}; }),
+                               {listOf([] {
+                                    return fleet::FreeRoom{shortNumber(), shortNumber()};
+                                }),
                                 shortNumber(), number(), number()}};
     case 1:
         return core::ForwardJob{number(), Incarnation{number()}, job()};
@@ -194,8 +196,8 @@
     return vm == b.vm && incarnation == b.incarnation && zone == b.zone && time == b.monotonicTime
            && configuration == b.configuration && queued == b.queuedTasks
            && running == b.runningTasks && draining == b.draining && room.free == b.room.free
-           && room.fastestPercent == b.room.fastestPercent
-           && room.usableCpu == b.room.usableCpu && room.queuedWork == b.room.queuedWork;
+           && room.fastestPercent == b.room.fastestPercent && room.usableCpu == b.room.usableCpu
+           && room.queuedWork == b.room.queuedWork;
 }
 
 bool same(const core::ForwardJob &a, const core::ForwardJob &b)
@@ -369,7 +371,7 @@
     BOOST_TEST(refusalOf(changed(0, 'X')) == "wrong-magic");
     BOOST_TEST(refusalOf(changed(4, 3)) == "wrong-version");
     BOOST_TEST(refusalOf(changed(6, 0)) == "unknown-type");
-    BOOST_TEST(refusalOf(changed(6, 10)) == "unknown-type");
+    BOOST_TEST(refusalOf(changed(6, 13)) == "unknown-type");
     BOOST_TEST(refusalOf(changed(7, 0)) == "wrong-origin");
     BOOST_TEST(refusalOf(changed(8, 0)) == "wrong-size");
     BOOST_TEST(refusalOf(delta + "x") == "wrong-size");
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -248,8 +248,11 @@
 {
     FleetSettings fleet;
     readAddress(reader, "storeAddress", fleet.storeAddress);
-    if (const auto weight = reader.number("weight", 0.01, 256)) {
+    if (const auto weight = reader.number("weight", 0, 256)) {
         fleet.weight = *weight;
+        if (*weight == 0) {
+            reader.report("weight", "must be above 0");
+        }
     }
     readMilliseconds(reader, "callerWaitMs", 100, maxHourMs, fleet.callerWait);
     readMilliseconds(reader, "heartbeatIntervalMs", 10, 60'000, fleet.heartbeatInterval);
--- a/src/rattandock/app/event_history.cpp
+++ b/src/rattandock/app/event_history.cpp
@@ -103,33 +103,35 @@
 
 void EventHistory::note(const core::Note &note, TimePoint now)
 {
-    record(name(note.kind), note.reason, note.job, note.detail,
-           {levelOf(note.kind), partOf(note.kind)}, now);
+    const auto order = static_cast<std::size_t>(note.kind);
+    record({name(note.kind), order, levelOf(note.kind), partOf(note.kind)}, note.reason, note.job,
+           note.detail, now);
 }
 
 void EventHistory::note(const fleet::FleetNote &note, TimePoint now)
 {
-    record(name(note.kind), note.reason, note.job, note.detail,
-           {levelOf(note.kind), partOf(note.kind)}, now);
+    const auto order = core::noteKindCount + static_cast<std::size_t>(note.kind);
+    record({name(note.kind), order, levelOf(note.kind), partOf(note.kind)}, note.reason, note.job,
+           note.detail, now);
 }
 
-void EventHistory::record(std::string_view event, std::string_view reason, const JobId &job,
-                          const std::string &detail, Line line, TimePoint now)
+void EventHistory::record(const Kind &kind, std::string_view reason, const JobId &job,
+                          const std::string &detail, TimePoint now)
 {
-    m_metrics.count(counterOf(event), reason);
-    ++m_counts[{event, std::string{reason}}];
-    if (isLogged(line.level)) {
-        std::string sentence{event};
+    m_metrics.count(counterOf(kind.event), reason);
+    ++m_counts[{kind.order, kind.event, std::string{reason}}];
+    if (isLogged(kind.level)) {
+        std::string sentence{kind.event};
         sentence += " reason=" + std::string{reason};
         if (!detail.empty()) {
             sentence += " (" + detail + ')';
         }
-        log(line.level, line.part, sentence, job.value());
+        log(kind.level, kind.part, sentence, job.value());
     }
     if (!job.value().empty()) {
         m_numbersOf[job].push_back(m_firstNumber + m_entries.size());
     }
-    m_entries.push_back({now, event, std::string{reason}, job, detail});
+    m_entries.push_back({now, kind.event, std::string{reason}, job, detail});
     if (m_entries.size() > m_maxEntries) {
         forgetOldest();
     }
@@ -150,7 +152,7 @@
 {
     std::vector<DecisionCount> counts;
     for (const auto &[key, n] : m_counts) {
-        counts.push_back({key.first, key.second, n});
+        counts.push_back({key.event, key.reason, n});
     }
     return counts;
 }
--- a/src/rattandock/app/fleet_api.cpp
+++ b/src/rattandock/app/fleet_api.cpp
@@ -61,8 +61,8 @@
     }
     log(LogLevel::Info, LogPart::Config,
         "configuration in force version=" + std::to_string(config.version.value())
-                + " queues=" + std::to_string(config.queues.size()) + " previous="
-                + std::to_string(m_config ? m_config->version.value() : 0));
+                + " queues=" + std::to_string(config.queues.size())
+                + " previous=" + std::to_string(m_config ? m_config->version.value() : 0));
     m_metrics.count("configuration_in_force", "accepted");
     m_config = std::move(config);
 }
@@ -108,8 +108,7 @@
             "job refused reason=unsupported-" + std::string{name(*unsupported)}, id.value());
         return m_format.encodeUnsupported(*unsupported);
     }
-    const auto end =
-            m_loop.submit(std::move(std::get<fleet::FleetJob>(job)), request.watchClose);
+    const auto end = m_loop.submit(std::move(std::get<fleet::FleetJob>(job)), request.watchClose);
     if (!end) {
         m_metrics.count("fleet_answers", "caller-left");
         HttpResponse none;
@@ -172,20 +171,19 @@
     const fleet::FleetStatus status = m_loop.dispatcher().status();
     json::array decisions;
     for (const DecisionCount &it : m_history.counts()) {
-        decisions.push_back(json::object{
-                {"decision", it.event}, {"reason", it.reason}, {"count", it.count}});
-    }
-    return reply(200,
-                 {{"vm", m_vm.value()},
-                  {"draining", status.stopping},
-                  {"configurationVersion", m_config ? m_config->version.value() : 0},
-                  {"jobs", status.jobs},
-                  {"queuedTasks", status.waitingTasks},
-                  {"runningTasks", status.runs},
-                  {"keptUpstreams", status.keptUpstreams},
-                  {"knownUpstreams", status.knownUpstreams},
-                  {"linkedVms", status.linkedVms},
-                  {"decisions", std::move(decisions)}});
+        decisions.push_back(
+                json::object{{"decision", it.event}, {"reason", it.reason}, {"count", it.count}});
+    }
+    return reply(200, {{"vm", m_vm.value()},
+                       {"draining", status.stopping},
+                       {"configurationVersion", m_config ? m_config->version.value() : 0},
+                       {"jobs", status.jobs},
+                       {"queuedTasks", status.waitingTasks},
+                       {"runningTasks", status.runs},
+                       {"keptUpstreams", status.keptUpstreams},
+                       {"knownUpstreams", status.knownUpstreams},
+                       {"linkedVms", status.linkedVms},
+                       {"decisions", std::move(decisions)}});
 }
 
 HttpResponse FleetApi::explain(const JobId &id) const
@@ -196,11 +194,10 @@
     }
     json::array events;
     for (const HistoryEntry &it : entries) {
-        events.push_back(
-                json::object{{"afterMs", toMilliseconds(it.time - entries.front().time)},
-                             {"event", it.event},
-                             {"reason", it.reason},
-                             {"detail", it.detail}});
+        events.push_back(json::object{{"afterMs", toMilliseconds(it.time - entries.front().time)},
+                                      {"event", it.event},
+                                      {"reason", it.reason},
+                                      {"detail", it.detail}});
     }
     return reply(200, {{"id", id.value()}, {"events", std::move(events)}});
 }
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -149,9 +149,9 @@
         }
         options.tls = std::move(tls.value());
     }
-    auto listening = adapters::PeerStreams::listen(
-            threads, *settings.peerAddress, options, loop, metrics,
-            [this](const auto &give) { give(heartbeat()); });
+    auto listening =
+            adapters::PeerStreams::listen(threads, *settings.peerAddress, options, loop, metrics,
+                                          [this](const auto &give) { give(heartbeat()); });
     if (!listening) {
         findings.add("peerAddress", listening.error().message());
         return;
@@ -222,9 +222,8 @@
                       [&it](const auto &rows) { it.followMembers(rows); });
     });
     log(LogLevel::Info, LogPart::Daemon,
-        "started vm=" + settings.dispatcher.vm.value() + " zone="
-                + settings.dispatcher.zone.value() + " incarnation="
-                + std::to_string(it.incarnation.value()) + " callers on port "
+        "started vm=" + settings.dispatcher.vm.value() + " zone=" + settings.dispatcher.zone.value()
+                + " incarnation=" + std::to_string(it.incarnation.value()) + " callers on port "
                 + std::to_string(daemon->callerPort()) + ", operators on port "
                 + std::to_string(daemon->operatorPort()));
     return daemon;
@@ -272,8 +271,7 @@
         return false;
     }
     it.threads.spawn(0, [&it] { it.isDone = it.loop.dispatcher().isStopped(); });
-    const bool limitPassed =
-            it.clock.now() - began >= it.settings.fleet->stopLimit + stopReserve;
+    const bool limitPassed = it.clock.now() - began >= it.settings.fleet->stopLimit + stopReserve;
     return it.isDone || limitPassed;
 }
 
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -143,9 +143,9 @@
     while (!m_isStopping) {
         ++m_self.beat;
         m_self.draining = m_loop.dispatcher().status().stopping;
-        const ports::WriteResult written = m_store.write({{membersTable, "", m_self.vm.value(),
-                                                           adapters::encodeMember(m_self),
-                                                           std::nullopt}});
+        const ports::WriteResult written =
+                m_store.write({{membersTable, "", m_self.vm.value(), adapters::encodeMember(m_self),
+                                std::nullopt}});
         const auto *const writeFailure = std::get_if<StoreFailure>(&written);
         const ports::ReadResult read = m_store.read(membersTable, "");
         const auto *const readFailure = std::get_if<StoreFailure>(&read);
--- a/src/rattandock/app/operator_api.cpp
+++ b/src/rattandock/app/operator_api.cpp
@@ -155,8 +155,8 @@
     });
     json::array decisions;
     for (const DecisionCount &it : seen.counts) {
-        decisions.push_back(json::object{
-                {"decision", it.event}, {"reason", it.reason}, {"count", it.count}});
+        decisions.push_back(
+                json::object{{"decision", it.event}, {"reason", it.reason}, {"count", it.count}});
     }
     const core::DispatcherStatus &status = seen.status;
     return reply(200, {{"vm", m_vm.value()},
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -58,8 +58,8 @@
 
 FleetStatus FleetDispatcher::status() const
 {
-    FleetStatus status{m_kept.size(), m_listed.size(),   m_jobs.size(), 0,
-                       0,             m_linked.size(), m_stopAt.has_value()};
+    FleetStatus status{m_kept.size(),   m_listed.size(),     m_jobs.size(), 0, 0,
+                       m_linked.size(), m_stopAt.has_value()};
     for (const auto &[number, job] : m_jobs) {
         status.waitingTasks += job.waiting;
     }
@@ -80,12 +80,10 @@
             continue;
         }
         const UpstreamEntry &entry = kept.ledger.entry();
-        const auto percent =
-                static_cast<std::uint32_t>(100 * m_times.factor(id, kindOf(entry)));
+        const auto percent = static_cast<std::uint32_t>(100 * m_times.factor(id, kindOf(entry)));
         report.usableCpu += entry.capacity.cpu.value();
-        report.fastestPercent = report.fastestPercent == 0
-                                        ? percent
-                                        : std::min(report.fastestPercent, percent);
+        report.fastestPercent =
+                report.fastestPercent == 0 ? percent : std::min(report.fastestPercent, percent);
         if (const std::uint32_t free = kept.ledger.free().cpu.value(); free > 0) {
             report.free.push_back({free, percent});
         }
@@ -153,8 +151,7 @@
     }
 }
 
-void FleetDispatcher::on(const StopRequested & /*event*/, TimePoint now,
-                         FleetActions & /*actions*/)
+void FleetDispatcher::on(const StopRequested & /*event*/, TimePoint now, FleetActions & /*actions*/)
 {
     if (!m_stopAt) {
         m_stopAt = now + m_options.stopLimit;
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -94,8 +94,7 @@
         const bool serves = listed.entry.service == job.service;
         isServed = isServed || serves;
         fits = fits
-               || (serves && listed.entry.capacity.holds(job.need)
-                   && hasLabel(listed.entry, job));
+               || (serves && listed.entry.capacity.holds(job.need) && hasLabel(listed.entry, job));
     }
     if (!isServed) {
         return JobTurnedAway{TurnedAway::NoUpstreams, noUpstreamsRetryAfter};
@@ -164,11 +163,10 @@
 void FleetDispatcher::turnAway(CallerRequestId request, const FleetJob &job,
                                const JobTurnedAway &end, FleetActions &actions)
 {
-    actions.emplace_back(FleetNote{FleetNoteKind::JobTurnedAway, name(end.reason), job.id,
-                                   "queue " + job.queue.value() + ", tasks "
-                                           + std::to_string(job.taskCount) + ", retry after "
-                                           + std::to_string(toMilliseconds(end.retryAfter))
-                                           + " ms"});
+    actions.emplace_back(FleetNote{
+            FleetNoteKind::JobTurnedAway, name(end.reason), job.id,
+            "queue " + job.queue.value() + ", tasks " + std::to_string(job.taskCount)
+                    + ", retry after " + std::to_string(toMilliseconds(end.retryAfter)) + " ms"});
     actions.emplace_back(AnswerJob{request, job.id, end});
 }
 
@@ -245,8 +243,8 @@
             ++job.tasks[index].nextRun;
             taskWaits(job, job.tasks[index], now);
         }
-        actions.emplace_back(FleetNote{FleetNoteKind::OfferEnded, "not-run", job.spec.id,
-                                       event.from.value()});
+        actions.emplace_back(
+                FleetNote{FleetNoteKind::OfferEnded, "not-run", job.spec.id, event.from.value()});
         return;
     }
 }
@@ -314,12 +312,12 @@
         m_jobOfId.erase(job.spec.id);
     } else {
         const auto &offer = std::get<OfferOrigin>(job.origin);
-        const auto result = std::visit(
-                Overloaded{[](const JobCompleted &) { return OfferResult::Done; },
-                           [](const JobFailed &) { return OfferResult::Failed; },
-                           [](const JobTurnedAway &) { return OfferResult::NotRun; },
-                           [](const JobBrokenOff &) { return OfferResult::GivenUp; }},
-                end);
+        const auto result =
+                std::visit(Overloaded{[](const JobCompleted &) { return OfferResult::Done; },
+                                      [](const JobFailed &) { return OfferResult::Failed; },
+                                      [](const JobTurnedAway &) { return OfferResult::NotRun; },
+                                      [](const JobBrokenOff &) { return OfferResult::GivenUp; }},
+                           end);
         actions.emplace_back(SendToVm{offer.vm, TaskOfferEnded{offer.number, result}});
         m_jobOfOffer.erase({offer.vm, offer.number});
     }
@@ -344,8 +342,8 @@
 {
     std::vector<JobNumber> hopeless;
     for (const auto &[number, job] : m_jobs) {
-        const Duration shortest = job.waiting > 0 ? scaled(fastestRun(job.spec), shortestPart)
-                                                  : Duration{};
+        const Duration shortest =
+                job.waiting > 0 ? scaled(fastestRun(job.spec), shortestPart) : Duration{};
         if (now + shortest >= job.deadline) {
             hopeless.push_back(number);
         }
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -63,10 +63,10 @@
         const TimePoint latestStart = latestStartOf(job);
         const bool isLate = latestStart < now;
         const int rank = isLate ? 2 : job.hasStarted ? 0 : 1;
-        const Duration::rep key =
-                isLate ? static_cast<Duration::rep>(job.waiting) * job.spec.need.cpu.value()
-                                 * job.spec.estimate.count()
-                       : latestStart.time_since_epoch().count();
+        const Duration::rep key = isLate ? static_cast<Duration::rep>(job.waiting)
+                                                   * job.spec.need.cpu.value()
+                                                   * job.spec.estimate.count()
+                                         : latestStart.time_since_epoch().count();
         order.emplace_back(rank, key, job.spec.priority, number);
     }
     std::ranges::sort(order);
@@ -115,8 +115,7 @@
         if (!room.holds(job.spec.need) || !hasLabel(entry, job.spec)) {
             continue;
         }
-        if (job.spec.maxPerUpstream > 0
-            && it.ledger.runsOf(number) >= job.spec.maxPerUpstream) {
+        if (job.spec.maxPerUpstream > 0 && it.ledger.runsOf(number) >= job.spec.maxPerUpstream) {
             continue;
         }
         Duration expected = m_times.expected(id, kindOf(entry), job.spec.estimate);
@@ -160,14 +159,12 @@
         return std::numeric_limits<std::uint32_t>::max();
     }
     // As in choosePlacement(): safe where it can be, else just before the deadline.
-    const bool canBeSafe =
-            safeFactor * static_cast<double>(fastestRun(job.spec).count()) <= left;
+    const bool canBeSafe = safeFactor * static_cast<double>(fastestRun(job.spec).count()) <= left;
     const double percent = 100 * left / estimate / (canBeSafe ? safeFactor : 1.0);
     return static_cast<std::uint32_t>(std::clamp(percent, 0.0, 1e6));
 }
 
-void FleetDispatcher::offerWaiting(JobNumber number, Job &job, TimePoint now,
-                                   FleetActions &actions)
+void FleetDispatcher::offerWaiting(JobNumber number, Job &job, TimePoint now, FleetActions &actions)
 {
     std::vector<std::uint32_t> waiting;
     for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
@@ -178,8 +175,7 @@
     const std::uint32_t maxPercent = slowestUsefulPercent(job, now);
     std::size_t next = 0;
     while (next < waiting.size()) {
-        const auto share =
-                m_shared.take(job.spec.need.cpu, waiting.size() - next, maxPercent);
+        const auto share = m_shared.take(job.spec.need.cpu, waiting.size() - next, maxPercent);
         if (!share) {
             return;
         }
@@ -200,9 +196,9 @@
         }
         job.waiting -= share->tasks;
         job.hasStarted = true;
-        actions.emplace_back(FleetNote{FleetNoteKind::TasksOffered, "no-room-here", job.spec.id,
-                                       share->vm.value() + ", tasks "
-                                               + std::to_string(share->tasks)});
+        actions.emplace_back(
+                FleetNote{FleetNoteKind::TasksOffered, "no-room-here", job.spec.id,
+                          share->vm.value() + ", tasks " + std::to_string(share->tasks)});
         actions.emplace_back(SendToVm{share->vm, std::move(offer)});
     }
 }
@@ -251,8 +247,8 @@
             m_times.learn(upstream, kindOf(listed->second.entry), job.spec.estimate, over.elapsed);
         }
         if (m_watch.succeeded(upstream) == UpstreamWatch::Change::Restored) {
-            actions.emplace_back(FleetNote{
-                    FleetNoteKind::UpstreamRestored, "probe-done", {}, upstream.value()});
+            actions.emplace_back(
+                    FleetNote{FleetNoteKind::UpstreamRestored, "probe-done", {}, upstream.value()});
         }
         return taskDone(number, job, task, actions);
     }
@@ -269,11 +265,10 @@
     }
     static constexpr std::array<std::string_view, 6> names{"done",   "failed", "stopped",
                                                            "lapsed", "broken", "alone"};
-    actions.emplace_back(FleetNote{FleetNoteKind::RunRepeated,
-                                   names.at(static_cast<std::size_t>(over.how)), job.spec.id,
-                                   "task " + std::to_string(job.indices[over.task.task.value()])
-                                           + ", " + upstream.value() + ", after "
-                                           + std::to_string(toMilliseconds(over.elapsed)) + " ms"});
+    actions.emplace_back(FleetNote{
+            FleetNoteKind::RunRepeated, names.at(static_cast<std::size_t>(over.how)), job.spec.id,
+            "task " + std::to_string(job.indices[over.task.task.value()]) + ", " + upstream.value()
+                    + ", after " + std::to_string(toMilliseconds(over.elapsed)) + " ms"});
     taskWaits(job, task, m_runsOverAt.value_or(now));
 }
 
@@ -328,10 +323,8 @@
                 continue;
             }
             if (m_watch.failed(task.upstream, number, now) == UpstreamWatch::Change::SetAside) {
-                actions.emplace_back(FleetNote{FleetNoteKind::UpstreamSetAside,
-                                               "overdue",
-                                               {},
-                                               task.upstream.value()});
+                actions.emplace_back(FleetNote{
+                        FleetNoteKind::UpstreamSetAside, "overdue", {}, task.upstream.value()});
             }
             LedgerOutputs outputs;
             kept->second.ledger.stop({number, TaskIndex{n}}, now, outputs);
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -64,7 +64,8 @@
     for (const UpstreamId &it : gone) {
         m_listed.erase(it);
         if (m_kept.contains(it)) {
-            actions.emplace_back(FleetNote{FleetNoteKind::UpstreamGone, "unlisted", {}, it.value()});
+            actions.emplace_back(
+                    FleetNote{FleetNoteKind::UpstreamGone, "unlisted", {}, it.value()});
             dropUpstream(it, "unlisted", now, actions);
         }
     }
@@ -119,11 +120,11 @@
     if (isMine && listed != m_listed.end() && !m_kept.contains(row.upstream)) {
         m_kept.emplace(row.upstream,
                        Kept{UpstreamLedger{listed->second.entry, row.epoch, m_options.lease}});
-        actions.emplace_back(FleetNote{FleetNoteKind::UpstreamClaimed,
-                                       "claimed",
-                                       {},
-                                       row.upstream.value() + ", epoch "
-                                               + std::to_string(row.epoch)});
+        actions.emplace_back(
+                FleetNote{FleetNoteKind::UpstreamClaimed,
+                          "claimed",
+                          {},
+                          row.upstream.value() + ", epoch " + std::to_string(row.epoch)});
     }
 }
 
@@ -204,8 +205,8 @@
             continue;
         }
         const auto known = m_keepers.find(it);
-        KeeperRow row = known == m_keepers.end() ? KeeperRow{it, zone, {}, {}, 0, 0}
-                                                 : known->second;
+        KeeperRow row =
+                known == m_keepers.end() ? KeeperRow{it, zone, {}, {}, 0, 0} : known->second;
         row.vm = claim ? m_options.vm : VmId{};
         row.incarnation = claim ? m_options.incarnation : Incarnation{};
         row.epoch += 1;
@@ -219,8 +220,8 @@
         for (const KeeperRow &it : rows) {
             if (!claim) {
                 // Given up before the row says so: from here on another VM may order it.
-                actions.emplace_back(FleetNote{FleetNoteKind::UpstreamReleased, "released", {},
-                                               it.upstream.value()});
+                actions.emplace_back(FleetNote{
+                        FleetNoteKind::UpstreamReleased, "released", {}, it.upstream.value()});
                 dropUpstream(it.upstream, "released", now, actions);
             }
         }
@@ -240,8 +241,7 @@
         actions.emplace_back(FleetNote{FleetNoteKind::UpstreamLost,
                                        reason,
                                        {},
-                                       id.value() + ", runs "
-                                               + std::to_string(ledger.runCount())});
+                                       id.value() + ", runs " + std::to_string(ledger.runCount())});
     }
     LedgerOutputs outputs;
     m_runsOverAt = ledger.abandon(now, outputs);
@@ -308,20 +308,19 @@
                             FleetActions &actions)
 {
     for (LedgerOutput &output : outputs) {
-        std::visit(Overloaded{
-                           [&](LookOrder &it) { actions.emplace_back(std::move(it)); },
-                           [&](StopOrder &it) { actions.emplace_back(std::move(it)); },
-                           [&](const RunOver &it) { runOver(upstream, it, now, actions); },
-                           [&](const RunNeverStarted &it) {
-                               runNeverStarted(upstream, it, now, actions);
-                           },
-                           [&](const UpstreamLost &it) {
-                               m_keepers.erase(it.upstream);
-                               if (it.reason == OrderResult::OtherIncarnation) {
-                                   m_listed.erase(it.upstream);
-                               }
-                               dropUpstream(it.upstream, name(it.reason), now, actions);
-                           }},
+        std::visit(Overloaded{[&](LookOrder &it) { actions.emplace_back(std::move(it)); },
+                              [&](StopOrder &it) { actions.emplace_back(std::move(it)); },
+                              [&](const RunOver &it) { runOver(upstream, it, now, actions); },
+                              [&](const RunNeverStarted &it) {
+                                  runNeverStarted(upstream, it, now, actions);
+                              },
+                              [&](const UpstreamLost &it) {
+                                  m_keepers.erase(it.upstream);
+                                  if (it.reason == OrderResult::OtherIncarnation) {
+                                      m_listed.erase(it.upstream);
+                                  }
+                                  dropUpstream(it.upstream, name(it.reason), now, actions);
+                              }},
                    output);
     }
 }
--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -71,7 +71,8 @@
 {
     const char *const seed = std::getenv("FLEET_SEED");
     BOOST_REQUIRE(seed != nullptr);
-    FleetWorld world{std::stoull(seed), std::getenv("FLEET_CALM") != nullptr ? WorldFaults{} : everything};
+    FleetWorld world{std::stoull(seed),
+                     std::getenv("FLEET_CALM") != nullptr ? WorldFaults{} : everything};
     world.trace([](const std::string &line) { std::cout << line << '\n'; });
     world.run(std::chrono::seconds{20});
 }
@@ -81,9 +82,9 @@
 {
     FleetWorld world{1, {.arrivalInterval = std::chrono::milliseconds{250}}};
     world.run(20s);
-    BOOST_TEST_MESSAGE(world.submitted() << " jobs, " << world.completed() << " completed, "
-                                         << world.turnedAway() << " turned away, "
-                                         << world.brokenOff() << " broken off");
+    BOOST_TEST_MESSAGE(world.submitted()
+                       << " jobs, " << world.completed() << " completed, " << world.turnedAway()
+                       << " turned away, " << world.brokenOff() << " broken off");
     BOOST_TEST(world.breaches().empty());
     BOOST_TEST(world.submitted() > 50);
     BOOST_TEST(world.completed() * 100 >= world.submitted() * 90);
@@ -93,9 +94,8 @@
 // upstreams are lost, carried out without an answer, or carried out seconds later.
 BOOST_AUTO_TEST_CASE(keepsPromisesWhileOrdersAreLostOrLate)
 {
-    const Totals totals =
-            runSchedules({.lost = 0.02, .answerLost = 0.03, .late = 0.05}, 1000, 300,
-                         std::chrono::seconds{12});
+    const Totals totals = runSchedules({.lost = 0.02, .answerLost = 0.03, .late = 0.05}, 1000, 300,
+                                       std::chrono::seconds{12});
     BOOST_TEST(totals.completed > 0);
 }
 
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -59,8 +59,8 @@
 
 Duration FleetWorld::between(Duration low, Duration high)
 {
-    return Duration{std::uniform_int_distribution<std::int64_t>{low.count(), high.count()}(
-            m_random)};
+    return Duration{
+            std::uniform_int_distribution<std::int64_t>{low.count(), high.count()}(m_random)};
 }
 
 template <typename... Parts>
@@ -206,48 +206,51 @@
 {
     const std::uint64_t process = m_vms[n].process;
     for (FleetAction &action : actions) {
-        std::visit(
-                Overloaded{
-                        [&](const StartOrder &it) {
-                            order(n, it.upstream,
-                                  [this, it](Upstream &upstream) {
-                                      return startRun(upstream, it);
-                                  },
-                                  [this, n, process, it](OrderResult result, auto clock) {
-                                      post(n, process,
-                                           StartAnswered{it.upstream, it.name, it.number, result,
-                                                         clock},
-                                           Duration{});
-                                  });
-                        },
-                        [&](const StopOrder &it) {
-                            order(n, it.upstream,
-                                  [this, it](Upstream &upstream) { return stopRun(upstream, it); },
-                                  [this, n, process, it](OrderResult result, auto) {
-                                      post(n, process,
-                                           StopAnswered{it.upstream, it.name, it.number, result},
-                                           Duration{});
-                                  });
-                        },
-                        [&](const LookOrder &it) { look(n, it); },
-                        [&](const AnswerJob &it) {
-                            const auto caller = m_callerOfJob.find(it.job.value());
-                            if (caller != m_callerOfJob.end()
-                                && m_callers[caller->second].request == it.request
-                                && m_callers[caller->second].vm == n) {
-                                answered(caller->second, it.end);
-                            }
-                        },
-                        [&](const SendToVm &it) { sendPeer(n, it); },
-                        [&](const WriteKeepers &it) { writeKeepers(n, it); },
-                        [&](const ProbeUpstream &it) {
-                            post(n, process, UpstreamProbed{it.zone, true}, 2ms);
-                        },
-                        [&](const FleetNote &it) {
-                            note(m_vms[n].id, ' ', name(it.kind), ' ', it.reason, ' ', it.job, ' ',
-                                 it.detail);
-                        }},
-                action);
+        std::visit(Overloaded{[&](const StartOrder &it) {
+                                  order(
+                                          n, it.upstream,
+                                          [this, it](Upstream &upstream) {
+                                              return startRun(upstream, it);
+                                          },
+                                          [this, n, process, it](OrderResult result, auto clock) {
+                                              post(n, process,
+                                                   StartAnswered{it.upstream, it.name, it.number,
+                                                                 result, clock},
+                                                   Duration{});
+                                          });
+                              },
+                              [&](const StopOrder &it) {
+                                  order(
+                                          n, it.upstream,
+                                          [this, it](Upstream &upstream) {
+                                              return stopRun(upstream, it);
+                                          },
+                                          [this, n, process, it](OrderResult result, auto) {
+                                              post(n, process,
+                                                   StopAnswered{it.upstream, it.name, it.number,
+                                                                result},
+                                                   Duration{});
+                                          });
+                              },
+                              [&](const LookOrder &it) { look(n, it); },
+                              [&](const AnswerJob &it) {
+                                  const auto caller = m_callerOfJob.find(it.job.value());
+                                  if (caller != m_callerOfJob.end()
+                                      && m_callers[caller->second].request == it.request
+                                      && m_callers[caller->second].vm == n) {
+                                      answered(caller->second, it.end);
+                                  }
+                              },
+                              [&](const SendToVm &it) { sendPeer(n, it); },
+                              [&](const WriteKeepers &it) { writeKeepers(n, it); },
+                              [&](const ProbeUpstream &it) {
+                                  post(n, process, UpstreamProbed{it.zone, true}, 2ms);
+                              },
+                              [&](const FleetNote &it) {
+                                  note(m_vms[n].id, ' ', name(it.kind), ' ', it.reason, ' ', it.job,
+                                       ' ', it.detail);
+                              }},
+                   action);
     }
 }
 
@@ -335,8 +338,9 @@
 
 void FleetWorld::setLink(std::size_t a, std::size_t b, bool up)
 {
-    if (up && (m_cutLinks.contains(std::minmax(a, b)) || !m_vms[a].dispatcher
-               || !m_vms[b].dispatcher)) {
+    if (up
+        && (m_cutLinks.contains(std::minmax(a, b)) || !m_vms[a].dispatcher
+            || !m_vms[b].dispatcher)) {
         return;
     }
     const bool changed = up ? m_upLinks.insert(std::minmax(a, b)).second
@@ -351,8 +355,8 @@
 
 void FleetWorld::sendPeer(std::size_t from, const SendToVm &message)
 {
-    const auto to = static_cast<std::size_t>(
-            std::ranges::find(m_vms, message.vm, &Vm::id) - m_vms.begin());
+    const auto to =
+            static_cast<std::size_t>(std::ranges::find(m_vms, message.vm, &Vm::id) - m_vms.begin());
     if (!linked(from, to)) {
         return;
     }
@@ -442,8 +446,7 @@
     if (lease <= Duration{}) {
         return OrderResult::Late;
     }
-    upstream.leaseUntil =
-            std::max(upstream.leaseUntil, m_now + std::min(lease, leaseMaximum));
+    upstream.leaseUntil = std::max(upstream.leaseUntil, m_now + std::min(lease, leaseMaximum));
     const RunKey key{order.name, order.number.value()};
     note(upstream.entry.id, " starts ", order.name.job, " task ", order.name.task, " run ",
          order.number, " token ", order.token.value() >> 20U, '.', order.token.value() & 0xfffffU);
@@ -523,9 +526,8 @@
             return failed(OrderResult::Fenced, travel);
         }
         upstream.fence = request.token;
-        std::erase_if(upstream.ended, [&](const EndedRun &it) {
-            return it.position <= request.acknowledged;
-        });
+        std::erase_if(upstream.ended,
+                      [&](const EndedRun &it) { return it.position <= request.acknowledged; });
         if (request.leaseUntil) {
             const Duration lease = request.leaseUntil->value() - clockOf(upstream).value();
             upstream.leaseUntil =
@@ -616,7 +618,8 @@
 void FleetWorld::submit(std::size_t caller)
 {
     Caller &it = m_callers[caller];
-    const auto drawn = static_cast<std::size_t>(between(Duration{0}, Duration{vmCount - 1}).count());
+    const auto drawn =
+            static_cast<std::size_t>(between(Duration{0}, Duration{vmCount - 1}).count());
     for (std::size_t n = 0; n < vmCount; ++n) {
         const std::size_t vm = (drawn + n) % vmCount;
         if (!m_vms[vm].dispatcher) {
@@ -754,9 +757,8 @@
         const std::size_t vm = anyVm();
         note("cut ", upstream.entry.id, " from ", m_vms[vm].id);
         upstream.cutFrom.insert(vm);
-        at(m_now + between(200ms, 4s), [this, id = upstream.entry.id, vm] {
-            upstreamOf(id).cutFrom.erase(vm);
-        });
+        at(m_now + between(200ms, 4s),
+           [this, id = upstream.entry.id, vm] { upstreamOf(id).cutFrom.erase(vm); });
     }
     if (drawn(m_faults.linkCut)) {
         const auto link = std::minmax(anyVm(), anyVm());
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -255,7 +255,8 @@
         out.emplace_back(UpstreamLost{m_entry.id, result});
         return;
     }
-    const Duration pause = std::min(m_times.lastRetry, m_times.firstRetry * (1U << std::min(m_failures, 6U)));
+    const Duration pause =
+            std::min(m_times.lastRetry, m_times.firstRetry * (1U << std::min(m_failures, 6U)));
     ++m_failures;
     m_retryAt = now + pause;
 }
