Send heartbeats by the number of links, and make calls to upstreams cheaper

Change: 80 ms with up to 8 links, 200 ms with 20 and more. Fibers are suspended without a lock, and exchanges share one timer.

--- a/include/rattandock/adapters/http_connections.hpp
+++ b/include/rattandock/adapters/http_connections.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 
 #include "rattandock/adapters/http_client.hpp"
 #include "rattandock/adapters/http_message.hpp"
+#include "rattandock/adapters/io_wait.hpp"
 #include "rattandock/base/time.hpp"
 
 namespace rattandock::adapters {
@@ -48,12 +50,21 @@
     std::unique_ptr<Connection> open(const boost::asio::ip::tcp::endpoint &server,
                                      std::chrono::steady_clock::time_point deadline,
                                      boost::system::error_code &ec);
+    /// Puts the connection under its deadline, and takes it from there.
+    void begin(Connection &connection, std::chrono::steady_clock::time_point deadline);
+    void finish(Connection &connection);
+    /// Cancels exchanges whose deadline has passed; returns when there is none.
+    void expire();
+    static IoEnd write(Connection &connection, const std::string &text);
+    static boost::system::error_code read(Connection &connection, HttpResponse &response,
+                                          bool &keepAlive);
     std::unique_ptr<Connection> takeIdle(const boost::asio::ip::tcp::endpoint &server);
 
     const std::size_t m_maxIdle;
     std::map<boost::asio::ip::tcp::endpoint, std::vector<std::unique_ptr<Connection>>> m_idle;
     std::vector<Connection *> m_busy;
     std::size_t m_opened = 0;
+    bool m_isExpiring = false;
     bool m_isShutDown = false;
 };
 
--- a/include/rattandock/adapters/io_wait.hpp
+++ b/include/rattandock/adapters/io_wait.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <boost/asio/error.hpp>
-#include <boost/fiber/condition_variable.hpp>
-#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/context.hpp>
 #include <boost/system/error_code.hpp>
-#include <mutex>
+#include <cstddef>
 
 namespace rattandock::adapters {
 
@@ -17,25 +16,29 @@
 
 /// Starts an asynchronous operation and suspends the calling fiber until its handler runs.
 /// `start` gets the handler, which takes an error code and optionally a count of bytes.
-/// Precondition: the handler runs on the calling thread, which has a FiberScheduler.
+/// Precondition: the handler runs on the calling thread, which has a FiberScheduler. As both run on
+/// one thread, no lock is needed.
 template <typename Start>
 IoEnd awaitIo(Start &&start)
 {
     struct Wait
     {
-        boost::fibers::mutex mutex;
-        boost::fibers::condition_variable ended;
-        bool done = false;
+        boost::fibers::context *fiber = boost::fibers::context::active();
+        bool isSuspended = false;
+        bool isDone = false;
         IoEnd end;
     } wait;
     start([&wait](boost::system::error_code ec, std::size_t bytes = 0) {
-        const std::lock_guard lock{wait.mutex};
         wait.end = {ec, bytes};
-        wait.done = true;
-        wait.ended.notify_one();
+        wait.isDone = true;
+        if (wait.isSuspended) {
+            boost::fibers::context::active()->schedule(wait.fiber);
+        }
     });
-    std::unique_lock lock{wait.mutex};
-    wait.ended.wait(lock, [&wait] { return wait.done; });
+    if (!wait.isDone) {
+        wait.isSuspended = true;
+        wait.fiber->suspend();
+    }
     return wait.end;
 }
 
--- a/include/rattandock/adapters/peer_streams.hpp
+++ b/include/rattandock/adapters/peer_streams.hpp
@@ -83,6 +83,9 @@
     /// Closes the link to a VM that is gone. Precondition: as addPeer().
     void removePeer(const VmId &vm);
 
+    /// Replaces the interval of the options. Thread safety: may be called from any thread.
+    void setHeartbeatInterval(Duration interval);
+
     void send(core::SendToPeer message) override;
 
     /// Connections that are made from now on use it; open ones stay.
--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -32,7 +32,6 @@
     double weight = 1;
     /// Wait for the answer of a caller that names none.
     Duration callerWait = std::chrono::seconds{5};
-    Duration heartbeatInterval = std::chrono::milliseconds{200};
     /// With the lease of runs it must be over before callers resubmit (1,300 ms).
     Duration peerSilence = std::chrono::milliseconds{600};
     Duration stopLimit = std::chrono::milliseconds{4500};
--- a/include/rattandock/fleet/link_choice.hpp
+++ b/include/rattandock/fleet/link_choice.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <set>
 
+#include "rattandock/base/time.hpp"
 #include "rattandock/fleet/membership.hpp"
 
 namespace rattandock::fleet {
@@ -15,4 +17,9 @@
 /// to other zones are enough to even out a burst.
 std::set<VmId> chooseLinks(const VmId &self, const std::map<VmId, MemberRow> &members);
 
+/// Interval of heartbeats over this many links. Their room reports let VMs offer tasks to where
+/// there is room, so that few links may carry many; three of the longest interval still fit the
+/// silence limit of 600 ms.
+Duration heartbeatIntervalFor(std::size_t links);
+
 } // namespace rattandock::fleet
--- a/src/rattandock/adapters/http_connections.cpp
+++ b/src/rattandock/adapters/http_connections.cpp
@@ -3,8 +3,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
 
@@ -23,6 +24,11 @@
 /// Answers above this are not read: the platform's lists come in pages of 1 MB.
 constexpr std::uint64_t maxAnswerBytes = 4U << 20U;
 
+/// How late an exchange may notice that its limit has passed.
+constexpr auto expiryInterval = std::chrono::milliseconds{20};
+/// Size of one read; answers of upstreams are mostly below it.
+constexpr std::size_t readBytes = 8192;
+
 std::string requestText(const tcp::endpoint &server, const HttpRequest &request)
 {
     std::string text = request.method + ' ' + request.path;
@@ -42,7 +48,8 @@
 }
 
 /// True if the server has neither closed the idle connection nor sent anything on it.
-bool isStillIdle(tcp::socket &socket)
+template <typename Socket>
+bool isStillIdle(Socket &socket)
 {
     char byte = 0;
     const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -51,10 +58,15 @@
 
 } // namespace
 
+/// The executor's type is fixed, as calls through asio's type-erased one showed in profiles.
 struct HttpConnections::Connection
 {
-    beast::tcp_stream stream{IoThreads::currentIo()};
-    beast::flat_buffer buf;
+    using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
+
+    Socket socket{IoThreads::currentIo()};
+    std::chrono::steady_clock::time_point deadline;
+    /// The deadline has passed and the operations were cancelled.
+    bool isExpired = false;
 };
 
 HttpConnections::HttpConnections(std::size_t maxIdle)
@@ -70,7 +82,7 @@
     while (it != m_idle.end() && !it->second.empty()) {
         auto connection = std::move(it->second.back());
         it->second.pop_back();
-        if (isStillIdle(connection->stream.socket())) {
+        if (isStillIdle(connection->socket)) {
             return connection;
         }
     }
@@ -83,20 +95,53 @@
 {
     auto connection = std::make_unique<Connection>();
     ++m_opened;
-    m_busy.push_back(connection.get());
-    connection->stream.expires_at(deadline);
-    const IoEnd end =
-            awaitIo([&](auto handle) { connection->stream.async_connect(server, handle); });
-    std::erase(m_busy, connection.get());
-    ec = end.ec;
+    begin(*connection, deadline);
+    ec = awaitIo([&](auto handle) { connection->socket.async_connect(server, handle); }).ec;
+    finish(*connection);
     if (ec) {
         return nullptr;
     }
-    beast::error_code ignored;
-    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    boost::system::error_code ignored;
+    connection->socket.set_option(tcp::no_delay(true), ignored);
+    connection->socket.non_blocking(true, ignored);
     return connection;
 }
 
+void HttpConnections::begin(Connection &connection, std::chrono::steady_clock::time_point deadline)
+{
+    connection.deadline = deadline;
+    connection.isExpired = false;
+    m_busy.push_back(&connection);
+    if (!m_isExpiring) {
+        m_isExpiring = true;
+        spawnFiber([this] { expire(); });
+    }
+}
+
+void HttpConnections::finish(Connection &connection)
+{
+    std::erase(m_busy, &connection);
+}
+
+void HttpConnections::expire()
+{
+    // One timer for all exchanges: a timer for each would be set and cancelled with every order.
+    asio::steady_timer timer{IoThreads::currentIo()};
+    while (!m_busy.empty()) {
+        timer.expires_after(expiryInterval);
+        awaitIo([&timer](auto handle) { timer.async_wait(handle); });
+        const auto now = std::chrono::steady_clock::now();
+        for (Connection *const it : m_busy) {
+            if (now >= it->deadline) {
+                it->isExpired = true;
+                boost::system::error_code ignored;
+                it->socket.cancel(ignored);
+            }
+        }
+    }
+    m_isExpiring = false;
+}
+
 bool HttpConnections::connect(const tcp::endpoint &server, Duration limit)
 {
     boost::system::error_code ec;
@@ -105,11 +150,74 @@
     if (!connection) {
         return false;
     }
-    connection->stream.expires_never();
     m_idle[server].push_back(std::move(connection));
     return true;
 }
 
+IoEnd HttpConnections::write(Connection &connection, const std::string &text)
+{
+    // A request fits the socket's buffer as a rule, so that no wait is needed.
+    boost::system::error_code ec;
+    std::size_t written = connection.socket.write_some(asio::buffer(text), ec);
+    if (ec && ec != asio::error::would_block) {
+        return {ec, 0};
+    }
+    while (written < text.size()) {
+        const IoEnd end = awaitIo([&](auto handle) {
+            connection.socket.async_write_some(
+                    asio::buffer(text.data() + written, text.size() - written), handle);
+        });
+        if (end.ec) {
+            return {end.ec, written};
+        }
+        written += end.bytes;
+    }
+    return {{}, written};
+}
+
+boost::system::error_code HttpConnections::read(Connection &connection, HttpResponse &response,
+                                                bool &keepAlive)
+{
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxAnswerBytes);
+    parser.eager(true);
+    beast::flat_buffer buf;
+    boost::system::error_code ec;
+    while (!parser.is_done()) {
+        const IoEnd end = awaitIo([&](auto handle) {
+            connection.socket.async_read_some(buf.prepare(readBytes), handle);
+        });
+        if (end.ec == asio::error::eof && parser.got_some()) {
+            parser.put_eof(ec);
+            if (ec) {
+                return ec;
+            }
+            break;
+        }
+        if (end.ec) {
+            return end.ec;
+        }
+        buf.commit(end.bytes);
+        while (buf.size() > 0 && !parser.is_done()) {
+            buf.consume(parser.put(buf.data(), ec));
+            if (ec == http::error::need_more) {
+                ec = {};
+                break;
+            }
+            if (ec) {
+                return ec;
+            }
+        }
+    }
+    keepAlive = parser.get().keep_alive() && buf.size() == 0;
+    response.status = parser.get().result_int();
+    for (const auto &it : parser.get()) {
+        response.headers.emplace_back(it.name_string(), it.value());
+    }
+    response.body = std::move(parser.get().body());
+    return {};
+}
+
 HttpClientResult HttpConnections::exchange(const tcp::endpoint &server, const HttpRequest &request,
                                            Duration limit)
 {
@@ -125,36 +233,20 @@
             return HttpClientError{ec, false};
         }
     }
-    m_busy.push_back(connection.get());
-    const auto leave = [&] { std::erase(m_busy, connection.get()); };
-    beast::tcp_stream &stream = connection->stream;
-    const std::string text = requestText(server, request);
-    stream.expires_at(deadline);
-    const IoEnd written =
-            awaitIo([&](auto handle) { asio::async_write(stream, asio::buffer(text), handle); });
-    if (written.ec) {
-        leave();
-        return HttpClientError{written.ec, written.bytes > 0};
-    }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxAnswerBytes);
-    stream.expires_at(deadline);
-    const IoEnd read = awaitIo(
-            [&](auto handle) { http::async_read(stream, connection->buf, parser, handle); });
-    leave();
-    if (read.ec) {
-        return HttpClientError{read.ec, true};
-    }
-    const bool keepAlive = parser.get().keep_alive();
+    begin(*connection, deadline);
+    const IoEnd written = write(*connection, requestText(server, request));
     HttpResponse response;
-    response.status = parser.get().result_int();
-    for (const auto &it : parser.get()) {
-        response.headers.emplace_back(it.name_string(), it.value());
+    bool keepAlive = false;
+    boost::system::error_code ec = written.ec;
+    if (!ec) {
+        ec = read(*connection, response, keepAlive);
+    }
+    finish(*connection);
+    if (ec) {
+        return HttpClientError{ec, written.bytes > 0};
     }
-    response.body = std::move(parser.get().body());
     auto &idle = m_idle[server];
-    if (keepAlive && !m_isShutDown && connection->buf.size() == 0 && idle.size() < m_maxIdle) {
-        stream.expires_never();
+    if (keepAlive && !connection->isExpired && !m_isShutDown && idle.size() < m_maxIdle) {
         idle.push_back(std::move(connection));
     }
     return response;
@@ -170,7 +262,8 @@
     m_isShutDown = true;
     m_idle.clear();
     for (Connection *const it : m_busy) {
-        it->stream.cancel();
+        boost::system::error_code ignored;
+        it->socket.cancel(ignored);
     }
 }
 
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -53,6 +53,7 @@
         , events(sink)
         , metrics(counters)
         , heartbeats(std::move(source))
+        , heartbeatInterval(options.heartbeatInterval)
         , tls(options.tls)
         , acceptor(owner.io(0))
     {
@@ -66,6 +67,7 @@
     ports::EventSink &events;
     Metrics &metrics;
     const HeartbeatSource heartbeats;
+    std::atomic<Duration> heartbeatInterval;
     std::mutex tlsMutex;
     PeerTls tls;
     tcp::acceptor acceptor;
@@ -208,7 +210,7 @@
 {
     asio::steady_timer &ticker = perThread[thread]->ticker;
     while (!stopping) {
-        ticker.expires_after(options.heartbeatInterval);
+        ticker.expires_after(heartbeatInterval.load());
         awaitIo([&ticker](auto handle) { ticker.async_wait(handle); });
         if (!stopping) {
             requestHeartbeat(thread, nullptr);
@@ -372,6 +374,11 @@
                });
 }
 
+void PeerStreams::setHeartbeatInterval(Duration interval)
+{
+    m_state->heartbeatInterval = interval;
+}
+
 void PeerStreams::replaceTls(PeerTls tls)
 {
     const std::lock_guard lock{m_state->tlsMutex};
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -255,7 +255,6 @@
         }
     }
     readMilliseconds(reader, "callerWaitMs", 100, maxHourMs, fleet.callerWait);
-    readMilliseconds(reader, "heartbeatIntervalMs", 10, 60'000, fleet.heartbeatInterval);
     readMilliseconds(reader, "peerSilenceMs", 100, 60'000, fleet.peerSilence);
     readMilliseconds(reader, "stopLimitMs", 0, maxHourMs, fleet.stopLimit);
     return fleet;
--- a/src/rattandock/adapters/upstream_client.cpp
+++ b/src/rattandock/adapters/upstream_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
 #include <cerrno>
 #include <future>
 #include <list>
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -137,7 +137,7 @@
     adapters::PeerStreamsOptions options = settings.peerStreams;
     options.vm = settings.dispatcher.vm;
     options.incarnation = incarnation;
-    options.heartbeatInterval = settings.fleet->heartbeatInterval;
+    options.heartbeatInterval = fleet::heartbeatIntervalFor(0);
     options.silenceLimit = settings.fleet->peerSilence;
     options.connectTimeout = settings.fleet->peerSilence;
     options.lastPause = std::chrono::milliseconds{500};
@@ -181,6 +181,7 @@
         }
     }
     knownPeers = std::move(links);
+    peers->setHeartbeatInterval(fleet::heartbeatIntervalFor(knownPeers.size()));
 }
 
 void FleetDaemon::Parts::listen(Findings &findings)
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -28,7 +28,9 @@
 constexpr Duration changesWait = std::chrono::milliseconds{2000};
 /// The upstreams' rows change all the time, as each writes its state, so they are read at an
 /// interval. A draining upstream must get no new work after 2 s.
-constexpr Duration upstreamsInterval = std::chrono::milliseconds{800};
+constexpr Duration upstreamsInterval = std::chrono::milliseconds{1100};
+/// Least time between two reads of the keepers' rows: at a start each VM writes some of them.
+constexpr Duration keepersInterval = std::chrono::milliseconds{250};
 /// Beats of the first seconds, so that VMs that start together soon know of each other.
 constexpr Duration firstBeatInterval = std::chrono::milliseconds{150};
 constexpr std::uint64_t firstBeats = 10;
@@ -63,7 +65,7 @@
                 [this](const auto &rows, bool isWhole) { takeUpstreams(rows, isWhole); }});
     });
     spawn([this] {
-        follow({keepersTable, changesWait, Duration{}, [this] { return readKeepers(); },
+        follow({keepersTable, changesWait, keepersInterval, [this] { return readKeepers(); },
                 [this](const auto &rows, bool isWhole) { takeKeepers(rows, isWhole); }});
     });
 }
--- a/src/rattandock/fleet/link_choice.cpp
+++ b/src/rattandock/fleet/link_choice.cpp
@@ -13,6 +13,11 @@
 /// Links that each VM chooses to VMs of other zones; it also keeps those that others choose to it.
 constexpr std::size_t foreignLinks = 4;
 
+/// A heartbeat takes about 70 us of both ends' processors, so a link's share is 0.7% of a core.
+constexpr Duration intervalPerLink = std::chrono::milliseconds{10};
+constexpr Duration shortestInterval = std::chrono::milliseconds{80};
+constexpr Duration longestInterval = std::chrono::milliseconds{200};
+
 /// FNV-1a, so that VMs of different builds agree.
 std::uint64_t hashOf(const VmId &first, const VmId &second)
 {
@@ -44,6 +49,12 @@
 
 } // namespace
 
+Duration heartbeatIntervalFor(std::size_t links)
+{
+    return std::clamp(intervalPerLink * static_cast<Duration::rep>(links), shortestInterval,
+                      longestInterval);
+}
+
 std::set<VmId> chooseLinks(const VmId &self, const std::map<VmId, MemberRow> &members)
 {
     const auto own = members.find(self);
--- a/src/standins/fleet/main.cpp
+++ b/src/standins/fleet/main.cpp
@@ -130,8 +130,8 @@
             const unsigned status = reply ? reply.value().status : 0;
             if (status == 200) {
                 const auto answer = platform::parseObject(reply.value().body);
-                const bool done = answer && answer->contains("state")
-                                  && answer->at("state") == "completed";
+                const bool done =
+                        answer && answer->contains("state") && answer->at("state") == "completed";
                 ++(done ? answers.completed : answers.failed);
                 return;
             }
@@ -151,13 +151,15 @@
 
 std::string configuration()
 {
-    const json::object route{{"name", "jobs"},          {"host", "127.0.0.1"},
-                             {"prefix", "/jobs/"},      {"kind", "non_idempotent"},
-                             {"timeout_ms", 1500},      {"target_latency_ms", 60},
-                             {"priority", 0},           {"service", "s"},
-                             {"max_attempts", 3},       {"stretch", 1.6}};
-    return json::serialize(json::object{
-            {"version", 1}, {"routes", {route}}, {"services", json::array{}}, {"limits", json::object{}}});
+    const json::object route{{"name", "jobs"},     {"host", "127.0.0.1"},
+                             {"prefix", "/jobs/"}, {"kind", "non_idempotent"},
+                             {"timeout_ms", 1500}, {"target_latency_ms", 60},
+                             {"priority", 0},      {"service", "s"},
+                             {"max_attempts", 3},  {"stretch", 1.6}};
+    return json::serialize(json::object{{"version", 1},
+                                        {"routes", {route}},
+                                        {"services", json::array{}},
+                                        {"limits", json::object{}}});
 }
 
 int serve(const cxxopts::ParseResult &arguments)
@@ -173,8 +175,8 @@
     const auto seed = arguments["seed"].as<std::uint64_t>();
     std::vector<std::unique_ptr<adapters::HttpServer>> servers;
     const auto listen = [&](std::uint16_t at, adapters::HttpHandler handler) {
-        auto server = adapters::HttpServer::listen(
-                threads, {make_address("127.0.0.1"), at}, {}, std::move(handler), [](auto) {});
+        auto server = adapters::HttpServer::listen(threads, {make_address("127.0.0.1"), at}, {},
+                                                   std::move(handler), [](auto) {});
         if (server) {
             servers.push_back(std::move(server.value()));
         }
@@ -189,8 +191,8 @@
         runners.push_back(std::make_unique<StandinRunner>("i-" + std::to_string(n), 64'000U, faults,
                                                           watch, seed + number));
         StandinRunner *const it = runners.back().get();
-        isListening = listen(at, [it](const auto &request) { return it->serve(request); })
-                      && isListening;
+        isListening =
+                listen(at, [it](const auto &request) { return it->serve(request); }) && isListening;
         store.put("servers", it->id(), it->row("s", zones[number % zones.size()], at));
     }
     if (!isListening) {
--- a/src/standins/fleet/standin_store.cpp
+++ b/src/standins/fleet/standin_store.cpp
@@ -86,9 +86,9 @@
 {
     const std::string table = parameter(query, "table");
     const std::uint64_t after = std::strtoull(parameter(query, "after").c_str(), nullptr, 10);
-    const auto until = std::chrono::steady_clock::now()
-                       + milliseconds{std::strtoll(parameter(query, "wait_ms").c_str(), nullptr,
-                                                   10)};
+    const auto until =
+            std::chrono::steady_clock::now()
+            + milliseconds{std::strtoll(parameter(query, "wait_ms").c_str(), nullptr, 10)};
     json::array rows;
     while (true) {
         for (const auto &[place, row] : m_rows) {
@@ -151,8 +151,8 @@
     ++m_version;
     for (const json::value &it : fields.array("writes")) {
         JsonFields row{it.as_object()};
-        m_rows[placeOf(it)] = {
-                rattandock::adapters::fromBase64(row.text("value")).value_or(""), m_version};
+        m_rows[placeOf(it)] = {rattandock::adapters::fromBase64(row.text("value")).value_or(""),
+                               m_version};
     }
     return reply(200, {{"ver", m_version}});
 }
--- a/src/standins/fleet/standin_test.cpp
+++ b/src/standins/fleet/standin_test.cpp
@@ -31,21 +31,22 @@
     RunWatch watch;
     StandinRunner runner{"i-1", 64'000, {}, watch, 1};
     const auto start = [&](int run, int token, int until) {
-        return runner.serve(post("/api/run-start",
-                                 R"({"task":"j.0.0.1","run":)" + std::to_string(run)
-                                         + R"(,"spec":"{\"cpu\":27000,\"ms\":100000}","deadline_ms":)"
-                                         + std::to_string(until) + R"(,"fencing_token":)"
-                                         + std::to_string(token) + '}'));
+        return runner.serve(
+                post("/api/run-start",
+                     R"({"task":"j.0.0.1","run":)" + std::to_string(run)
+                             + R"(,"spec":"{\"cpu\":27000,\"ms\":100000}","deadline_ms":)"
+                             + std::to_string(until) + R"(,"fencing_token":)"
+                             + std::to_string(token) + '}'));
     };
     BOOST_TEST(start(1, 5, 900'000).status == 200);
     BOOST_TEST(start(1, 5, 900'000).status == 200);
     BOOST_TEST(watch.starts() == 1);
     BOOST_TEST(start(2, 4, 900'000).body.find("fence") != std::string::npos);
     BOOST_TEST(start(2, 6, 1).body.find("late") != std::string::npos);
-    BOOST_TEST(runner.serve(post("/api/run-stop",
-                                 R"({"task":"j.0.0.1","run":1,"fencing_token":6})"))
-                       .status
-               == 200);
+    BOOST_TEST(
+            runner.serve(post("/api/run-stop", R"({"task":"j.0.0.1","run":1,"fencing_token":6})"))
+                    .status
+            == 200);
     BOOST_TEST(start(1, 6, 900'000).body.find("old") != std::string::npos);
     const auto report = platform::decodeRunReport(
             runner.serve(post("/api/hold", R"({"fencing_token":6,"last_seen":0})")).body);
@@ -76,10 +77,10 @@
 {
     StandinStore store;
     const auto write = [&](int version) {
-        return store.serve(post("/api/rows-tx",
-                                R"({"expect":[{"table":"t","part":"p","key":"k","ver":)"
-                                        + std::to_string(version)
-                                        + R"(}],"writes":[{"table":"t","part":"p","key":"k","value":"eA=="}]})"));
+        return store.serve(post(
+                "/api/rows-tx",
+                R"({"expect":[{"table":"t","part":"p","key":"k","ver":)" + std::to_string(version)
+                        + R"(}],"writes":[{"table":"t","part":"p","key":"k","value":"eA=="}]})"));
     };
     BOOST_TEST(write(0).status == 200);
     BOOST_TEST(write(0).status == 412);
