Drop what lay in the sockets while the process stood still

Change: after a pause, offers over old links and requests of the first 100 ms are refused, and a caller whose connection has closed starts nothing.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -193,6 +193,9 @@
     std::set<ZoneId> m_probing;
     Membership m_members;
     std::set<VmId> m_linked;
+    /// Links from before a pause; what still comes over them was sent long ago.
+    std::set<VmId> m_staleLinks;
+    std::optional<TimePoint> m_pausedAt;
     SharedRoom m_shared;
     RunTimes m_times;
     UpstreamWatch m_watch;
--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -135,6 +135,10 @@
 
     void arm(std::function<void()> onClosed)
     {
+        if (isClosed()) {
+            onClosed();
+            return;
+        }
         isArmed = true;
         socket->async_wait(tcp::socket::wait_read,
                            [self = shared_from_this(),
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -203,7 +203,10 @@
         post(fleet::CallerGone{request});
         finish(request, std::nullopt);
     });
-    post(fleet::JobArrived{request, std::move(job)});
+    // A caller that has left before its request was read gets no run.
+    if (m_waiters.contains(request)) {
+        post(fleet::JobArrived{request, std::move(job)});
+    }
     return end.get();
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -114,6 +114,7 @@
     actions.emplace_back(
             FleetNote{FleetNoteKind::PeerLink, event.isUp ? "up" : "down", {}, event.vm.value()});
     m_members.setLink(event.vm, event.isUp);
+    m_staleLinks.erase(event.vm);
     if (event.isUp) {
         m_linked.insert(event.vm);
         return;
@@ -166,6 +167,8 @@
                                    {},
                                    std::to_string(toMilliseconds(event.length)) + " ms, "
                                            + std::to_string(m_jobs.size()) + " jobs"});
+    m_pausedAt = now;
+    m_staleLinks = m_linked;
     std::vector<JobNumber> all;
     for (const auto &[number, job] : m_jobs) {
         all.push_back(number);
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -15,6 +15,9 @@
 /// Upstreams of another size may be added, but seldom.
 constexpr Duration nothingFitsRetryAfter = std::chrono::seconds{30};
 constexpr Duration pausedRetryAfter = std::chrono::milliseconds{100};
+/// Requests that lay in the sockets during a pause are read within this time. Their callers may
+/// have sent them to another VM since.
+constexpr Duration pauseShadow = std::chrono::milliseconds{100};
 /// A run may take this part of its expected time; below it a caller is not sent away for its
 /// estimate alone.
 constexpr double shortestPart = 0.6;
@@ -85,6 +88,9 @@
     if (m_stopAt && now > *m_stopAt - stoppingReserve) {
         return JobTurnedAway{TurnedAway::Stopping, stoppingRetryAfter};
     }
+    if (m_pausedAt && now - *m_pausedAt < pauseShadow) {
+        return JobTurnedAway{TurnedAway::Paused, pausedRetryAfter};
+    }
     if (m_jobs.size() >= m_options.maxWaitingJobs) {
         return JobTurnedAway{TurnedAway::Overload, noUpstreamsRetryAfter};
     }
@@ -189,7 +195,7 @@
     const auto answer = [&](OfferResult result) {
         actions.emplace_back(SendToVm{event.from, TaskOfferEnded{offer.number, result}});
     };
-    if (m_stopAt || m_kept.empty() || offer.tasks.empty()) {
+    if (m_stopAt || m_kept.empty() || offer.tasks.empty() || m_staleLinks.contains(event.from)) {
         return answer(OfferResult::NotRun);
     }
     const JobNumber number = addJob(offer.job, OfferOrigin{event.from, offer.number}, offer.tasks,
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -761,8 +761,8 @@
            [this, id = upstream.entry.id, vm] { upstreamOf(id).cutFrom.erase(vm); });
     }
     if (drawn(m_faults.linkCut)) {
-        const auto link = std::minmax(anyVm(), anyVm());
-        const std::pair<std::size_t, std::size_t> pair{link.first, link.second};
+        const std::size_t one = anyVm();
+        const std::pair<std::size_t, std::size_t> pair = std::minmax({one, anyVm()});
         if (pair.first != pair.second) {
             note("cut the link of VMs ", pair.first, " and ", pair.second);
             m_cutLinks.insert(pair);
