--- a/src/standins/fleet/main.cpp
+++ b/src/standins/fleet/main.cpp
@@ -39,6 +39,7 @@
             cxxopts::value<std::vector<std::uint16_t>>()->default_value(""))(
             "jobs-per-s", "rate of jobs", cxxopts::value<double>()->default_value("20"))(
             "seconds", "how long jobs are sent", cxxopts::value<int>()->default_value("10"))(
+            "warm-up", "seconds before the first job", cxxopts::value<int>()->default_value("3"))(
             "answer-lost", "share of orders", cxxopts::value<double>()->default_value("0"))(
             "late", "share of orders", cxxopts::value<double>()->default_value("0"))(
             "store-down", "seconds without a store, from the middle of the run",
@@ -227,6 +228,7 @@
             boost::this_fiber::sleep_for(down);
             store.setDown(false);
         });
+        boost::this_fiber::sleep_for(std::chrono::seconds{arguments["warm-up"].as<int>()});
         callers.run(arguments["jobs-per-s"].as<double>(), length);
         while (callers.answers.open > 0) {
             boost::this_fiber::sleep_for(milliseconds{10});
