Fix the lint findings in the fleet and its stand-in

A repeated branch twice, a narrowing conversion, an unused declaration and a null pointer in a tracing aid.

--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -70,8 +70,7 @@
 BOOST_AUTO_TEST_CASE(tracesOneSeed, *boost::unit_test::disabled())
 {
     const char *const seed = std::getenv("FLEET_SEED");
-    BOOST_REQUIRE(seed != nullptr);
-    FleetWorld world{std::stoull(seed),
+    FleetWorld world{std::stoull(seed != nullptr ? seed : "1"),
                      std::getenv("FLEET_CALM") != nullptr ? WorldFaults{} : everything};
     world.trace([](const std::string &line) { std::cout << line << '\n'; });
     world.run(std::chrono::seconds{20});
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -68,7 +68,7 @@
 {
     if (m_trace) {
         std::ostringstream line;
-        line << m_now.time_since_epoch().count() / 1000.0 << " ms: ";
+        line << toMilliseconds(m_now.time_since_epoch()) << " ms: ";
         (line << ... << parts);
         m_trace(line.str());
     }
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -213,21 +213,19 @@
                != report.active.end();
     };
     for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto next = std::next(it);
         const Run &run = it->second;
-        if (isActive(it->first)) {
-            ++it;
-        } else if (run.confirmed && *run.confirmed < look.sent) {
+        const bool isMissing = !isActive(it->first);
+        if (isMissing && run.confirmed && *run.confirmed < look.sent) {
             // The upstream had the run and has lost it without listing an end.
-            const auto next = std::next(it);
             end(it, RunEndKind::Lapsed, now, out);
-            it = next;
-        } else if (!run.confirmed && run.state != State::Starting && run.token < look.token) {
+        } else if (isMissing && !run.confirmed && run.state != State::Starting
+                   && run.token < look.token) {
             const TaskRef task = run.task;
-            it = remove(it);
+            remove(it);
             out.emplace_back(RunNeverStarted{task, OrderResult::NoAnswer});
-        } else {
-            ++it;
         }
+        it = next;
     }
 }
 
@@ -317,9 +315,8 @@
         m_leaseSent = now + m_times.lease;
     }
     const bool mustAcknowledge = m_acknowledgedThere < m_acknowledged;
-    if (isBusy && m_failures == 0) {
-        order.wait = m_times.lookWait;
-    } else if (!m_strangers.empty() && !mustAcknowledge) {
+    const bool awaitsStrangers = !m_strangers.empty() && !mustAcknowledge;
+    if ((isBusy && m_failures == 0) || awaitsStrangers) {
         order.wait = m_times.lookWait;
     }
     out.emplace_back(std::move(order));
--- a/src/standins/fleet/main.cpp
+++ b/src/standins/fleet/main.cpp
@@ -20,7 +20,6 @@
 using standins::StandinStore;
 namespace json = boost::json;
 using boost::asio::ip::make_address;
-using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
 namespace {
