--- a/include/rattandock/adapters/log.hpp
+++ b/include/rattandock/adapters/log.hpp
@@ -10,9 +10,9 @@
 /// Parts of the daemon; each line starts with the part's prefix.
 enum class LogPart : std::uint8_t { Caller, Dispatch, Upstream, Peer, Platform, Config, Daemon };
 
-/// Sends log lines to standard error through a bounded buffer and a thread of its own. When the
+/// Sends log lines to standard output through a bounded buffer and a thread of its own. When the
 /// buffer is full, lines are dropped and their number is logged later, so that no caller of log()
-/// waits for standard error. Call once, after signals are blocked, because it
+/// waits for standard output. Call once, after signals are blocked, because it
 /// starts a thread.
 void setUpLog(LogLevel level);
 
--- a/src/rattandock/adapters/log.cpp
+++ b/src/rattandock/adapters/log.cpp
@@ -53,7 +53,7 @@
 void setUpLog(LogLevel level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %-5p %m%n");
-    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.out");
     const auto async = std::make_shared<log4cxx::AsyncAppender>();
     async->setBufferSize(bufferedLines);
     async->setBlocking(false);
--- a/src/rattandock/adapters/log_test.cpp
+++ b/src/rattandock/adapters/log_test.cpp
@@ -3,7 +3,10 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <iostream>
 #include <regex>
 #include <sstream>
 #include <thread>
@@ -12,22 +15,25 @@
 
 namespace {
 
-/// Standard error goes to a pipe for the life of the object.
-class CapturedStandardError
+/// Standard output goes to a pipe for the life of the object.
+class CapturedStandardOutput
 {
 public:
-    CapturedStandardError()
-        : m_saved(::dup(2))
+    CapturedStandardOutput()
+        : m_saved(::dup(STDOUT_FILENO))
     {
+        // What others have buffered does not belong to the captured text.
+        std::cout.flush();
+        std::fflush(stdout);
         std::array<int, 2> ends{};
         BOOST_REQUIRE(::pipe(ends.data()) == 0);
         m_read = ends[0];
-        ::dup2(ends[1], 2);
+        ::dup2(ends[1], STDOUT_FILENO);
         ::close(ends[1]);
     }
-    CapturedStandardError(const CapturedStandardError &) = delete;
-    CapturedStandardError &operator=(const CapturedStandardError &) = delete;
-    ~CapturedStandardError()
+    CapturedStandardOutput(const CapturedStandardOutput &) = delete;
+    CapturedStandardOutput &operator=(const CapturedStandardOutput &) = delete;
+    ~CapturedStandardOutput()
     {
         restore();
         ::close(m_read);
@@ -49,7 +55,7 @@
     void restore()
     {
         if (m_saved >= 0) {
-            ::dup2(m_saved, 2);
+            ::dup2(m_saved, STDOUT_FILENO);
             ::close(m_saved);
             m_saved = -1;
         }
@@ -85,7 +91,7 @@
 // Guards against lines without time, level, prefix or job, and against lines below the level.
 BOOST_AUTO_TEST_CASE(writesLinesInTheDocumentedFormat)
 {
-    CapturedStandardError captured;
+    CapturedStandardOutput captured;
     setUpLog(LogLevel::Info);
     log(LogLevel::Info, LogPart::Caller, "answered", "t/k");
     log(LogLevel::Debug, LogPart::Caller, "dropped");
@@ -101,11 +107,11 @@
     BOOST_TEST(std::regex_match(lines[1], std::regex{time + "WARN  upstream: ejected"}), lines[1]);
 }
 
-// Guards against a thread that waits for a standard error which nobody reads: without dropping,
+// Guards against a thread that waits for a standard output which nobody reads: without dropping,
 // the loop below would not end.
 BOOST_AUTO_TEST_CASE(neverWaitsForStandardError)
 {
-    CapturedStandardError captured;
+    CapturedStandardOutput captured;
     setUpLog(LogLevel::Info);
     const std::string sentence(100, 'x');
     for (int n = 0; n < 50'000; ++n) {
