--- a/include/rattandock/adapters/http_connections.hpp
+++ b/include/rattandock/adapters/http_connections.hpp
@@ -35,14 +35,9 @@
     /// Makes a connection and keeps it for the next exchange; false if that fails.
     bool connect(const boost::asio::ip::tcp::endpoint &server, Duration limit);
 
-    /// Closes the idle connections to a server that is not used any more.
-    void forget(const boost::asio::ip::tcp::endpoint &server);
     /// Ends all exchanges; later ones fail at once.
     void shutDown();
 
-    /// Connections opened since the start.
-    std::size_t opened() const { return m_opened; }
-
 private:
     struct Connection;
 
@@ -63,7 +58,6 @@
     const std::size_t m_maxIdle;
     std::map<boost::asio::ip::tcp::endpoint, std::vector<std::unique_ptr<Connection>>> m_idle;
     std::vector<Connection *> m_busy;
-    std::size_t m_opened = 0;
     bool m_isExpiring = false;
     bool m_isShutDown = false;
 };
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -112,7 +112,6 @@
     TasksOffered,
     OfferEnded,
     RunRepeated,
-    RunEnded,
     UpstreamClaimed,
     UpstreamReleased,
     UpstreamLost,
@@ -122,7 +121,7 @@
     PeerLink,
     Paused,
 };
-inline constexpr std::size_t fleetNoteKindCount = 16;
+inline constexpr std::size_t fleetNoteKindCount = 15;
 std::string_view name(FleetNoteKind kind);
 
 /// A decision with its inputs, to be counted by kind and reason and logged.
--- a/include/rattandock/fleet/keeper_assignment.hpp
+++ b/include/rattandock/fleet/keeper_assignment.hpp
@@ -12,7 +12,6 @@
 struct AssignmentView
 {
     VmId self;
-    Incarnation incarnation;
     /// Alive VMs, this one included.
     std::map<VmId, MemberRow> members;
     /// Upstreams to be kept by somebody.
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -58,7 +58,7 @@
     {
     }
 
-    void see(const MemberRow &row, TimePoint now);
+    void see(const MemberRow &row);
     /// The row is gone or belongs to another incarnation now.
     void forgetAllBut(const std::map<VmId, MemberRow> &present);
     /// All rows were read; rows that did not change since grow older.
--- a/src/rattandock/adapters/http_connections.cpp
+++ b/src/rattandock/adapters/http_connections.cpp
@@ -94,7 +94,6 @@
                       boost::system::error_code &ec)
 {
     auto connection = std::make_unique<Connection>();
-    ++m_opened;
     begin(*connection, deadline);
     ec = awaitIo([&](auto handle) { connection->socket.async_connect(server, handle); }).ec;
     finish(*connection);
@@ -252,11 +251,6 @@
     return response;
 }
 
-void HttpConnections::forget(const tcp::endpoint &server)
-{
-    m_idle.erase(server);
-}
-
 void HttpConnections::shutDown()
 {
     m_isShutDown = true;
--- a/src/rattandock/app/event_history.cpp
+++ b/src/rattandock/app/event_history.cpp
@@ -70,7 +70,6 @@
     switch (kind) {
     case fleet::FleetNoteKind::JobCompleted:
     case fleet::FleetNoteKind::TasksOffered:
-    case fleet::FleetNoteKind::RunEnded:
         return LogLevel::Debug;
     case fleet::FleetNoteKind::UpstreamLost:
     case fleet::FleetNoteKind::UpstreamSetAside:
--- a/src/rattandock/fleet/decisions_test.cpp
+++ b/src/rattandock/fleet/decisions_test.cpp
@@ -125,16 +125,16 @@
     Membership members{2s};
     MemberRow row{VmId{"v"}, Incarnation{1}, ZoneId{"z"}, "127.0.0.1:1", 1, false, 1};
     TimePoint now{10s};
-    members.see(row, now);
+    members.see(row);
     members.readSucceeded(now);
     members.readFailed();
     now += 60s;
-    members.see(row, now);
+    members.see(row);
     members.readSucceeded(now);
     BOOST_TEST(members.isAlive(row.vm, row.incarnation));
     for (int n = 0; n < 4; ++n) {
         now += 700ms;
-        members.see(row, now);
+        members.see(row);
         members.readSucceeded(now);
     }
     BOOST_TEST(!members.isAlive(row.vm, row.incarnation));
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -81,7 +81,7 @@
     std::map<VmId, MemberRow> present;
     for (const MemberRow &it : *event.rows) {
         present.emplace(it.vm, it);
-        m_members.see(it, now);
+        m_members.see(it);
         m_members.setLink(it.vm, m_linked.contains(it.vm));
     }
     m_members.forgetAllBut(present);
@@ -134,7 +134,7 @@
     if (!m_hasMembers || !m_hasKeepers || !m_hasUpstreams || !isSettled(now) || self == nullptr) {
         return;
     }
-    AssignmentView view{m_options.vm, m_options.incarnation, m_members.alive(), {}, m_keepers};
+    AssignmentView view{m_options.vm, m_members.alive(), {}, m_keepers};
     MemberRow &own = view.members[m_options.vm] = *self;
     own.incarnation = m_options.incarnation;
     own.draining = m_stopAt.has_value();
--- a/src/rattandock/fleet/keeper_assignment_test.cpp
+++ b/src/rattandock/fleet/keeper_assignment_test.cpp
@@ -25,7 +25,6 @@
     AssignmentDecision decideFor(const std::string &vm)
     {
         view.self = VmId{vm};
-        view.incarnation = Incarnation{1};
         return assignUpstreams(view);
     }
     void keep(const std::string &upstream, const std::string &vm, std::uint64_t incarnation = 1)
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-void Membership::see(const MemberRow &row, TimePoint /*now*/)
+void Membership::see(const MemberRow &row)
 {
     const auto [it, isNew] = m_members.try_emplace(row.vm);
     Member &member = it->second;
