--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -6,15 +6,18 @@
 
 runs=${1:-100000}
 seed=20240601
-targets=(parse_job parse_settings parse_home_job_id)
+targets=(parse_job parse_settings parse_home_job_id parse_submission)
 sources=(
   src/rattandock/base/finding.cpp
   src/rattandock/core/{home_token,job_outcome,placement_policy,reason}.cpp
   src/rattandock/adapters/{base64,job_json,json_document,json_object_reader,json_parse,settings}.cpp
+  src/rattandock/adapters/http_message.cpp
+  src/rattandock/fleet/{fleet_action,submission}.cpp
+  platform/{json_fields,submission_codec,directory_codec}.cpp
 )
 out=build/fuzz
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -g -Iinclude -fno-sanitize-recover=all)
+flags=(-std=c++20 -O1 -g -Iinclude -I. -fno-sanitize-recover=all)
 
 export FLAGS="${flags[*]}"
 printf '%s\n' "${sources[@]}" | xargs -P 3 -I{} bash -c \
