Turn jobs away that have not started by half of their caller's time

Change: the decision wait_limit, applied to jobs of own callers that nothing has started for, with a refusal reason of its own.

--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -26,8 +26,10 @@
     Stopping,
     /// The VM was paused and cannot tell what happened meanwhile.
     Paused,
+    /// There was no room within the part of the caller's time that a job may wait.
+    WaitedTooLong,
 };
-inline constexpr std::size_t turnedAwayCount = 6;
+inline constexpr std::size_t turnedAwayCount = 7;
 std::string_view name(TurnedAway reason);
 
 /// Why a job whose tasks may have started has no result.
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -83,6 +83,8 @@
         std::size_t done = 0;
         TimePoint objective;
         TimePoint deadline;
+        /// Turned away if nothing has started by then.
+        TimePoint firstStartLimit;
         bool hasStarted = false;
     };
     struct Offer
--- /dev/null
+++ b/include/rattandock/fleet/wait_limit.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "rattandock/base/time.hpp"
+
+namespace rattandock::fleet {
+
+/// Until when a job may wait for its first start; then it is turned away.
+///
+/// Load pattern: bursts in which long tasks wait for a fast upstream, or short ones for any, until
+/// next to nothing of the caller's time is left. Most of them fail then, and their callers learn it
+/// too late to turn elsewhere; a refusal at half of the time leaves them as much as they have
+/// waited. Thread safety: any thread.
+TimePoint firstStartLimit(TimePoint arrived, TimePoint deadline);
+
+} // namespace rattandock::fleet
--- a/src/rattandock/fleet/fleet_action.cpp
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -7,7 +7,8 @@
 std::string_view name(TurnedAway reason)
 {
     static constexpr std::array<std::string_view, turnedAwayCount> names{
-            "overload", "no-upstreams", "nothing-fits", "deadline-passed", "stopping", "paused"};
+            "overload", "no-upstreams", "nothing-fits",   "deadline-passed",
+            "stopping", "paused",       "waited-too-long"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -3,6 +3,7 @@
 
 #include "rattandock/base/overloaded.hpp"
 #include "rattandock/fleet/fleet_dispatcher.hpp"
+#include "rattandock/fleet/wait_limit.hpp"
 
 namespace rattandock::fleet {
 
@@ -162,6 +163,7 @@
     job.indices = std::move(indices);
     job.objective = now + spec.objective;
     job.deadline = now + spec.deadline - m_options.answerMargin;
+    job.firstStartLimit = firstStartLimit(now, job.deadline);
     job.spec = std::move(spec);
     return number;
 }
@@ -347,16 +349,23 @@
 void FleetDispatcher::expireJobs(TimePoint now, FleetActions &actions)
 {
     std::vector<JobNumber> hopeless;
+    std::vector<JobNumber> unstarted;
     for (const auto &[number, job] : m_jobs) {
         const Duration shortest =
                 job.waiting > 0 ? scaled(fastestRun(job.spec), shortestPart) : Duration{};
+        const bool isOwn = std::holds_alternative<CallerRequestId>(job.origin);
         if (now + shortest >= job.deadline) {
             hopeless.push_back(number);
+        } else if (isOwn && !job.hasStarted && now >= job.firstStartLimit) {
+            unstarted.push_back(number);
         }
     }
     for (const JobNumber it : hopeless) {
         giveUp(it, TurnedAway::DeadlinePassed, BrokenOff::DeadlinePassed, now, actions);
     }
+    for (const JobNumber it : unstarted) {
+        giveUp(it, TurnedAway::WaitedTooLong, BrokenOff::DeadlinePassed, now, actions);
+    }
     if (!m_stopAt || now < *m_stopAt) {
         return;
     }
--- /dev/null
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -0,0 +1,150 @@
+// Load patterns replayed against one dispatcher, without other VMs or with scripted ones.
+#include "rattandock/fleet/fleet_dispatcher.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattandock;
+using namespace rattandock::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A VM that keeps one upstream with room for two tasks of 27 cores.
+struct Fixture
+{
+    Fixture()
+    {
+        send(MembersRead{std::vector{MemberRow{self, incarnation, zone, "127.0.0.1:1"}}});
+        send(UpstreamsSeen{{entry()}, {}, true});
+        send(KeepersRead{{KeeperRow{upstream, zone, self, incarnation, 1, 1}}, true});
+        answerLook({});
+        // Past the time in which a starting VM takes jobs on trust.
+        pass(3s);
+    }
+
+    static FleetOptions options()
+    {
+        FleetOptions options;
+        options.vm = VmId{"a"};
+        options.incarnation = Incarnation{7};
+        options.zone = ZoneId{"z"};
+        return options;
+    }
+    static UpstreamEntry entry()
+    {
+        return {UpstreamId{"u"}, ServiceId{"s"},
+                ZoneId{"z"},     "127.0.0.1:2",
+                false,           {MilliCores{64'000}, Megabytes{131'072}, Accelerators{0}},
+                {"kind"}};
+    }
+    static FleetJob job(const std::string &id, std::uint32_t tasks, Duration estimate)
+    {
+        FleetJob job;
+        job.id = JobId{id};
+        job.queue = QueueId{"q"};
+        job.service = ServiceId{"s"};
+        job.taskCount = tasks;
+        job.need = {MilliCores{27'000}, Megabytes{64}, Accelerators{0}};
+        job.estimate = estimate;
+        job.deadline = 1500ms;
+        job.objective = 1400ms;
+        job.maxAttempts = 3;
+        return job;
+    }
+    void send(const FleetEvent &event)
+    {
+        FleetActions actions;
+        dispatcher.handle(event, now, actions);
+        for (FleetAction &it : actions) {
+            if (auto *const look = std::get_if<LookOrder>(&it)) {
+                lastLook = look->number;
+                isLookOpen = true;
+            } else {
+                seen.push_back(std::move(it));
+            }
+        }
+    }
+    void answerLook(RunReport report)
+    {
+        report.clock = UpstreamTime{now.time_since_epoch()};
+        report.life = UpstreamLifeStart{1};
+        isLookOpen = false;
+        send(LookAnswered{upstream, lastLook, report});
+    }
+    /// Lets time pass; the upstream answers looks at once, with the runs still active on it.
+    void pass(Duration time)
+    {
+        for (const TimePoint end = now + time; now < end; now += 5ms) {
+            if (isLookOpen) {
+                RunReport report;
+                report.active = active;
+                answerLook(report);
+            }
+            send(TimerDue{});
+        }
+    }
+    /// Takes the actions of a kind that were seen so far.
+    template <typename T>
+    std::vector<T> take()
+    {
+        std::vector<T> found;
+        std::erase_if(seen, [&](FleetAction &it) {
+            auto *const one = std::get_if<T>(&it);
+            if (one != nullptr) {
+                found.push_back(std::move(*one));
+            }
+            return one != nullptr;
+        });
+        return found;
+    }
+    /// Confirms the starts that were ordered; they run until the end of the test.
+    void confirmStarts()
+    {
+        for (const StartOrder &it : take<StartOrder>()) {
+            active.push_back({it.name, it.number});
+            send(StartAnswered{upstream, it.name, it.number, OrderResult::Done, std::nullopt});
+        }
+    }
+    void submit(std::uint64_t request, const FleetJob &job)
+    {
+        send(JobArrived{CallerRequestId{request}, job});
+    }
+
+    VmId self{"a"};
+    Incarnation incarnation{7};
+    ZoneId zone{"z"};
+    UpstreamId upstream{"u"};
+    TimePoint now{100s};
+    FleetDispatcher dispatcher{options()};
+    std::vector<FleetAction> seen;
+    std::vector<ActiveRun> active;
+    LookNumber lastLook;
+    bool isLookOpen = false;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FleetDispatcherTest, Fixture)
+
+// Guards against a job that finds no room being held until next to nothing of its caller's time is
+// left, when the caller cannot turn elsewhere any more.
+BOOST_AUTO_TEST_CASE(turnsAwayByHalfOfTheTimeWhatCouldNotStart)
+{
+    submit(1, job("long", 2, 1000ms));
+    confirmStarts();
+    // Admitted by the expected end of what runs, which then takes longer.
+    submit(2, job("waits", 1, 100ms));
+    BOOST_TEST(take<AnswerJob>().empty());
+    pass(600ms);
+    BOOST_TEST(take<AnswerJob>().empty());
+    pass(150ms);
+    const auto answers = take<AnswerJob>();
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST(answers[0].job.value() == "waits");
+    const auto *const end = std::get_if<JobTurnedAway>(&answers[0].end);
+    BOOST_REQUIRE(end != nullptr);
+    BOOST_TEST((end->reason == TurnedAway::WaitedTooLong));
+    BOOST_TEST((end->retryAfter > Duration{}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/rattandock/fleet/wait_limit.cpp
@@ -0,0 +1,19 @@
+#include "rattandock/fleet/wait_limit.hpp"
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// Share of the caller's time that a job may wait without a start. Below a half, so that the answer
+/// arrives within the first half although deadlines are checked at intervals.
+constexpr double waitingShare = 0.47;
+
+} // namespace
+
+TimePoint firstStartLimit(TimePoint arrived, TimePoint deadline)
+{
+    const auto whole = static_cast<double>((deadline - arrived).count());
+    return arrived + Duration{static_cast<Duration::rep>(whole * waitingShare)};
+}
+
+} // namespace rattandock::fleet
