Judge long runs by what else is known of their job and upstream

Long tasks were stopped when no new run could end in time. The limit doubles with each stopped run of the job and on an upstream that ends other runs meanwhile; nothing is stopped that could not end in time elsewhere.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -85,6 +85,8 @@
         TimePoint deadline;
         /// Turned away if nothing has started by then.
         TimePoint firstStartLimit;
+        /// Runs that were stopped as overdue.
+        unsigned overdueStops = 0;
         bool hasStarted = false;
     };
     struct Offer
@@ -97,6 +99,8 @@
     {
         UpstreamLedger ledger;
         bool isReleasing = false;
+        /// When a run last ended in success here.
+        TimePoint lastSuccess;
     };
     struct Listed
     {
@@ -153,7 +157,7 @@
                          FleetActions &actions);
     void taskDone(JobNumber number, Job &job, Task &task, FleetActions &actions);
     void taskWaits(Job &job, Task &task, TimePoint notBefore);
-    void stopOverdue(TimePoint now, FleetActions &actions);
+    void judgeRuns(TimePoint now, FleetActions &actions);
     void dispatch(TimePoint now, FleetActions &actions);
     /// Starts what fits of one job. False if room is left for nobody.
     void dispatchJob(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
--- a/include/rattandock/fleet/fleet_options.hpp
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -27,10 +27,6 @@
     /// An upstream whose row vanished is still used this long, as rows may lapse while the store
     /// is away and come back within 2 s (platform's statement).
     Duration unlistedUse = 2500ms;
-    /// A run that takes this factor of its expected time, and `overdueExtra`, is stopped and
-    /// started elsewhere. Estimates spread by 40%, so 0.5% of sound runs are beyond it.
-    double overdueFactor = 2.5;
-    Duration overdueExtra = 60ms;
     /// The answer must leave this long before the caller's deadline to arrive in time.
     Duration answerMargin = 20ms;
     /// Jobs that wait here, at most.
--- a/src/rattandock/fleet/decisions_test.cpp
+++ b/src/rattandock/fleet/decisions_test.cpp
@@ -4,6 +4,7 @@
 #include "rattandock/fleet/admission.hpp"
 #include "rattandock/fleet/link_choice.hpp"
 #include "rattandock/fleet/membership.hpp"
+#include "rattandock/fleet/overdue.hpp"
 #include "rattandock/fleet/placement.hpp"
 #include "rattandock/fleet/run_times.hpp"
 #include "rattandock/fleet/sharing.hpp"
@@ -44,6 +45,33 @@
     BOOST_TEST(choosePlacement(candidates, {150ms, 1400ms, 59ms}).value() == 1);
 }
 
+// Guards against the runs of a job whose estimate is too low being restarted again and again until
+// its deadline: on a quiet day one task of 450 ms was stopped after each 200 ms.
+BOOST_AUTO_TEST_CASE(waitsLongerForRunsOfAJobThatWasRestartedBefore)
+{
+    OverdueView view{.elapsed = 210ms, .expected = 60ms, .restart = 50ms, .untilDeadline = 1200ms};
+    BOOST_TEST((judgeRun(view) == OverdueVerdict::Restart));
+    view.formerStops = 1;
+    BOOST_TEST((judgeRun(view) == OverdueVerdict::Wait));
+    view.elapsed = 361ms;
+    BOOST_TEST((judgeRun(view) == OverdueVerdict::Restart));
+    view.formerStops = 2;
+    BOOST_TEST((judgeRun(view) == OverdueVerdict::Wait));
+}
+
+// Guards against taking an upstream for hung that ends other runs meanwhile, and against a run that
+// is stopped although no new one could end in time.
+BOOST_AUTO_TEST_CASE(restartsOnlyWhatProbablyHangsAndCanStillEnd)
+{
+    OverdueView view{.elapsed = 900ms, .expected = 300ms, .restart = 300ms, .untilDeadline = 500ms};
+    BOOST_TEST((judgeRun(view) == OverdueVerdict::Restart));
+    view.upstreamWorks = true;
+    BOOST_TEST((judgeRun(view) == OverdueVerdict::Wait));
+    view.upstreamWorks = false;
+    view.untilDeadline = 250ms;
+    BOOST_TEST((judgeRun(view) == OverdueVerdict::Suspect));
+}
+
 // Guards against queueing what cannot end in time in a burst of 1.8 times what fits.
 BOOST_AUTO_TEST_CASE(refusesAtOnceWhatWouldWaitTooLong)
 {
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -28,7 +28,7 @@
     if (now >= m_nextHousekeeping) {
         m_nextHousekeeping = now + housekeepingInterval;
         expireJobs(now, actions);
-        stopOverdue(now, actions);
+        judgeRuns(now, actions);
         expireUnlisted(now, actions);
     }
     stepLedgers(now, actions);
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "rattandock/fleet/fleet_dispatcher.hpp"
+#include "rattandock/fleet/overdue.hpp"
 #include "rattandock/fleet/placement.hpp"
 
 namespace rattandock::fleet {
@@ -221,6 +222,10 @@
 void FleetDispatcher::runOver(const UpstreamId &upstream, const RunOver &over, TimePoint now,
                               FleetActions &actions)
 {
+    const auto kept = m_kept.find(upstream);
+    if (kept != m_kept.end() && over.how == RunEndKind::Done) {
+        kept->second.lastSuccess = now;
+    }
     const JobNumber number = over.task.job;
     const auto found = m_jobs.find(number);
     if (found == m_jobs.end()) {
@@ -306,29 +311,36 @@
     taskWaits(job, task, now + refusedPause);
 }
 
-void FleetDispatcher::stopOverdue(TimePoint now, FleetActions &actions)
+void FleetDispatcher::judgeRuns(TimePoint now, FleetActions &actions)
 {
     for (auto &[number, job] : m_jobs) {
         for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
             Task &task = job.tasks[n];
-            const Duration limit =
-                    scaled(task.expected, m_options.overdueFactor) + m_options.overdueExtra;
-            if (task.state != TaskState::Running || task.isOverdue
-                || now - task.startedAt < limit) {
+            if (task.state != TaskState::Running || task.isOverdue) {
                 continue;
             }
-            task.isOverdue = true;
             const auto kept = m_kept.find(task.upstream);
             if (kept == m_kept.end()) {
                 continue;
             }
+            const OverdueVerdict verdict =
+                    judgeRun({now - task.startedAt, task.expected, job.overdueStops,
+                              kept->second.lastSuccess > task.startedAt, fastestRun(job.spec),
+                              job.deadline - now});
+            if (verdict == OverdueVerdict::Wait) {
+                continue;
+            }
+            task.isOverdue = true;
             if (m_watch.failed(task.upstream, number, now) == UpstreamWatch::Change::SetAside) {
                 actions.emplace_back(FleetNote{
                         FleetNoteKind::UpstreamSetAside, "overdue", {}, task.upstream.value()});
             }
-            LedgerOutputs outputs;
-            kept->second.ledger.stop({number, TaskIndex{n}}, now, outputs);
-            apply(kept->first, outputs, now, actions);
+            if (verdict == OverdueVerdict::Restart) {
+                ++job.overdueStops;
+                LedgerOutputs outputs;
+                kept->second.ledger.stop({number, TaskIndex{n}}, now, outputs);
+                apply(kept->first, outputs, now, actions);
+            }
         }
     }
 }
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -118,8 +118,9 @@
     }
     const auto listed = m_listed.find(row.upstream);
     if (isMine && listed != m_listed.end() && !m_kept.contains(row.upstream)) {
-        m_kept.emplace(row.upstream,
-                       Kept{UpstreamLedger{listed->second.entry, row.epoch, m_options.lease}});
+        m_kept.emplace(
+                row.upstream,
+                Kept{UpstreamLedger{listed->second.entry, row.epoch, m_options.lease}, false, {}});
         actions.emplace_back(
                 FleetNote{FleetNoteKind::UpstreamClaimed,
                           "claimed",
