Give offered tasks back that cannot start, and count such a job as untouched

Cause: tasks offered on a stale report of room waited in the other VM's queue until their deadline, and their jobs were answered as if they might have run. Change: a VM gives an offer back after 100 ms without a start. A job is untouched again once all its offers came back, so it can be offered elsewhere, or be turned away truthfully by half of its time.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -87,7 +87,12 @@
         TimePoint firstStartLimit;
         /// Runs that were stopped as overdue.
         unsigned overdueStops = 0;
+        /// A task was started here, or may have been at another VM.
         bool hasStarted = false;
+        /// Offers of its tasks that have not ended.
+        std::size_t openOffers = 0;
+
+        bool isUntouched() const { return !hasStarted && openOffers == 0; }
     };
     struct Offer
     {
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -49,7 +49,7 @@
     Done,
     /// A task has failed as often as allowed.
     Failed,
-    /// No task was started, or all that were are over; none will be.
+    /// No task was started, and none will be.
     NotRun,
     /// The tasks did not end in time; none runs any more or will.
     GivenUp,
--- a/include/rattandock/fleet/wait_limit.hpp
+++ b/include/rattandock/fleet/wait_limit.hpp
@@ -12,4 +12,11 @@
 /// waited. Thread safety: any thread.
 TimePoint firstStartLimit(TimePoint arrived, TimePoint deadline);
 
+/// Until when tasks that another VM offered may wait for their first start; then they go back.
+///
+/// Load pattern: several VMs offer tasks on the same report of free room. Those that came too late
+/// waited behind others until their deadline, while room became free elsewhere.
+/// Thread safety: any thread.
+TimePoint offeredStartLimit(TimePoint arrived);
+
 } // namespace rattandock::fleet
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -206,6 +206,7 @@
     }
     const JobNumber number = addJob(offer.job, OfferOrigin{event.from, offer.number}, offer.tasks,
                                     offer.firstRun, now);
+    m_jobs.at(number).firstStartLimit = offeredStartLimit(now);
     m_jobOfOffer[{event.from, offer.number}] = number;
 }
 
@@ -234,6 +235,8 @@
         return;
     }
     Job &job = found->second;
+    --job.openOffers;
+    job.hasStarted = job.hasStarted || event.end.result != OfferResult::NotRun;
     switch (event.end.result) {
     case OfferResult::Done:
         for (const std::uint32_t index : offer.tasks) {
@@ -343,7 +346,7 @@
     if (found == m_jobs.end()) {
         return;
     }
-    if (found->second.hasStarted) {
+    if (!found->second.isUntouched()) {
         endJob(number, JobBrokenOff{ifStarted}, now, actions);
     } else {
         endJob(number, JobTurnedAway{ifUnstarted, retryAfterFor(ifUnstarted)}, now, actions);
@@ -357,10 +360,9 @@
     for (const auto &[number, job] : m_jobs) {
         const Duration shortest =
                 job.waiting > 0 ? scaled(fastestRun(job.spec), shortestPart) : Duration{};
-        const bool isOwn = std::holds_alternative<CallerRequestId>(job.origin);
         if (now + shortest >= job.deadline) {
             hopeless.push_back(number);
-        } else if (isOwn && !job.hasStarted && now >= job.firstStartLimit) {
+        } else if (job.isUntouched() && now >= job.firstStartLimit) {
             unstarted.push_back(number);
         }
     }
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -63,7 +63,7 @@
         }
         const TimePoint latestStart = latestStartOf(job);
         const bool isLate = latestStart < now;
-        const int rank = isLate ? 2 : job.hasStarted ? 0 : 1;
+        const int rank = isLate ? 2 : job.isUntouched() ? 1 : 0;
         const Duration::rep key = isLate ? static_cast<Duration::rep>(job.waiting)
                                                    * job.spec.need.cpu.value()
                                                    * job.spec.estimate.count()
@@ -97,7 +97,9 @@
             break;
         }
     }
-    if (job.waiting > 0 && std::holds_alternative<CallerRequestId>(job.origin)) {
+    // A job that is about to be turned away must not be offered again, else it never is.
+    const bool mayOffer = job.hasStarted || now < job.firstStartLimit;
+    if (job.waiting > 0 && mayOffer && std::holds_alternative<CallerRequestId>(job.origin)) {
         offerWaiting(number, job, now, actions);
     }
 }
@@ -196,7 +198,7 @@
             record.tasks.push_back(index);
         }
         job.waiting -= share->tasks;
-        job.hasStarted = true;
+        ++job.openOffers;
         actions.emplace_back(
                 FleetNote{FleetNoteKind::TasksOffered, "no-room-here", job.spec.id,
                           share->vm.value() + ", tasks " + std::to_string(share->tasks)});
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -162,4 +162,52 @@
     BOOST_TEST(take<StartOrder>().size() == 2);
 }
 
+// Guards against offered tasks waiting until their deadline at a VM whose room others have taken.
+BOOST_AUTO_TEST_CASE(givesOfferedTasksBackThatCannotStart)
+{
+    submit(1, job("own", 2, 1000ms));
+    confirmStarts();
+    send(PeerLink{VmId{"b"}, true});
+    send(OfferArrived{VmId{"b"}, TaskOffer{5, job("offered", 2, 100ms), {0, 1}, 1}});
+    pass(60ms);
+    BOOST_TEST(take<SendToVm>().empty());
+    pass(80ms);
+    const auto sent = take<SendToVm>();
+    BOOST_REQUIRE(sent.size() == 1);
+    const auto &end = std::get<TaskOfferEnded>(sent[0].message);
+    BOOST_TEST(end.number == 5);
+    BOOST_TEST((end.result == OfferResult::NotRun));
+}
+
+// Guards against answering that tasks may have run, when all offers of them came back unstarted,
+// and against offering such a job in turn until its deadline.
+BOOST_AUTO_TEST_CASE(turnsAwayAJobWhoseOffersAllCameBack)
+{
+    submit(1, job("own", 2, 1000ms));
+    confirmStarts();
+    send(PeerLink{VmId{"b"}, true});
+    const PeerRoomSeen room{VmId{"b"}, zone, false, {{{64'000, 100}}, 100, 64'000, 0}};
+    send(room);
+    submit(2, job("offered", 2, 300ms));
+    std::size_t offers = 0;
+    for (int n = 0; n < 15 && take<AnswerJob>().empty(); ++n) {
+        for (const SendToVm &it : take<SendToVm>()) {
+            ++offers;
+            pass(100ms);
+            const std::uint64_t number = std::get<TaskOffer>(it.message).number;
+            send(OfferEnded{VmId{"b"}, TaskOfferEnded{number, OfferResult::NotRun}});
+            send(room);
+        }
+        const auto answers = take<AnswerJob>();
+        if (!answers.empty()) {
+            BOOST_TEST(std::holds_alternative<JobTurnedAway>(answers[0].end));
+            BOOST_TEST(n < 9);
+            BOOST_TEST(offers > 2);
+            return;
+        }
+        pass(10ms);
+    }
+    BOOST_FAIL("the job was not answered");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/wait_limit.cpp
+++ b/src/rattandock/fleet/wait_limit.cpp
@@ -8,6 +8,9 @@
 /// arrives within the first half although deadlines are checked at intervals.
 constexpr double waitingShare = 0.47;
 
+/// About one interval of heartbeats: after it the offering VM knows better who has room.
+constexpr Duration offerPatience = std::chrono::milliseconds{100};
+
 } // namespace
 
 TimePoint firstStartLimit(TimePoint arrived, TimePoint deadline)
@@ -16,4 +19,9 @@
     return arrived + Duration{static_cast<Duration::rep>(whole * waitingShare)};
 }
 
+TimePoint offeredStartLimit(TimePoint arrived)
+{
+    return arrived + offerPatience;
+}
+
 } // namespace rattandock::fleet
