Settle without VMs that are gone for good, and count ends of offers apart

Ends of offered tasks were counted and logged as ends of jobs, so that each job that was shared counted twice. Change: settled when no further VM has shown up for three first beats. Ends of offers have a kind of note and a counter of their own.

--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -112,7 +112,10 @@
     JobFailed,
     JobCompleted,
     TasksOffered,
+    /// What another VM made of offered tasks, at the VM that offered them.
     OfferEnded,
+    /// What became of offered tasks, at the VM that took them.
+    OfferAnswered,
     RunRepeated,
     UpstreamClaimed,
     UpstreamReleased,
@@ -123,7 +126,7 @@
     PeerLink,
     Paused,
 };
-inline constexpr std::size_t fleetNoteKindCount = 15;
+inline constexpr std::size_t fleetNoteKindCount = 16;
 std::string_view name(FleetNoteKind kind);
 
 /// A decision with its inputs, to be counted by kind and reason and logged.
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 #include "rattandock/fleet/fleet_job.hpp"
@@ -55,6 +56,7 @@
     GivenUp,
 };
 inline constexpr std::size_t offerResultCount = 4;
+std::string_view name(OfferResult result);
 
 struct TaskOfferEnded
 {
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -66,8 +66,12 @@
     void readFailed() { m_lastRead.reset(); }
     void setLink(const VmId &vm, bool up);
 
-    /// True if each row has changed since it was first read, and there is more than one.
-    bool haveAllChanged() const;
+    /// True if all VMs that are likely to show up have: each row has changed since it was first
+    /// read, or some have and no further one did for a while.
+    ///
+    /// Load pattern: all VMs return from a power loss within half a second, while rows of VMs that
+    /// are gone for good never change.
+    bool hasSettled(TimePoint now) const;
 
     bool isAlive(const VmId &vm, Incarnation incarnation) const;
     /// Alive members and their rows.
@@ -91,6 +95,9 @@
     Duration m_silence;
     std::map<VmId, Member> m_members;
     std::optional<TimePoint> m_lastRead;
+    /// Members whose row has changed, and when their number last grew.
+    std::size_t m_shownUp = 0;
+    TimePoint m_lastShownUp;
 };
 
 } // namespace rattandock::fleet
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -82,6 +82,8 @@
             {"job_completed", "Jobs whose tasks are all done.", {"done"}},
             {"tasks_offered", "Sets of tasks sent to another VM.", {"no-room-here"}},
             {"offer_ended", "Sets of tasks that another VM did not run.", {"not-run"}},
+            {"offer_answered", "Sets of tasks taken from another VM, by what became of them.",
+             namesOf<fleet::OfferResult>(fleet::offerResultCount)},
             {"run_repeated", "Runs that are started again, by how they ended.", runRepeats()},
             {"upstream_claimed", "Upstreams that this VM began to keep.", {"claimed"}},
             {"upstream_released", "Upstreams given up for other VMs.", {"released"}},
--- a/src/rattandock/app/event_history.cpp
+++ b/src/rattandock/app/event_history.cpp
@@ -65,9 +65,12 @@
     }
 }
 
-LogLevel levelOf(fleet::FleetNoteKind kind)
+LogLevel levelOf(const fleet::FleetNote &note)
 {
-    switch (kind) {
+    switch (note.kind) {
+    case fleet::FleetNoteKind::OfferAnswered:
+        return note.reason == fleet::name(fleet::OfferResult::Done) ? LogLevel::Debug
+                                                                    : LogLevel::Info;
     case fleet::FleetNoteKind::JobCompleted:
     case fleet::FleetNoteKind::TasksOffered:
         return LogLevel::Debug;
@@ -110,7 +113,7 @@
 void EventHistory::note(const fleet::FleetNote &note, TimePoint now)
 {
     const auto order = core::noteKindCount + static_cast<std::size_t>(note.kind);
-    record({name(note.kind), order, levelOf(note.kind), partOf(note.kind)}, note.reason, note.job,
+    record({name(note.kind), order, levelOf(note), partOf(note.kind)}, note.reason, note.job,
            note.detail, now);
 }
 
--- a/src/rattandock/fleet/decisions_test.cpp
+++ b/src/rattandock/fleet/decisions_test.cpp
@@ -172,6 +172,33 @@
     BOOST_TEST(!members.isAlive(row.vm, Incarnation{2}));
 }
 
+// Guards against the return from a power loss waiting for a VM that is gone for good: its row never
+// changes again, and all others waited the whole settle time.
+BOOST_AUTO_TEST_CASE(settlesWithoutAVmThatIsGone)
+{
+    Membership members{2s};
+    MemberRow own{VmId{"a"}, Incarnation{2}, ZoneId{"z"}, "127.0.0.1:1", 1, false, 1};
+    MemberRow other{VmId{"b"}, Incarnation{2}, ZoneId{"z"}, "127.0.0.1:2", 1, false, 1};
+    const MemberRow gone{VmId{"c"}, Incarnation{1}, ZoneId{"z"}, "127.0.0.1:3", 1, false, 9};
+    TimePoint now{10s};
+    std::optional<TimePoint> settled;
+    for (int n = 0; n < 6; ++n) {
+        members.see(own);
+        members.see(other);
+        members.see(gone);
+        members.readSucceeded(now);
+        if (members.hasSettled(now) && !settled) {
+            settled = now;
+        }
+        ++own.beat;
+        ++other.beat;
+        now += 150ms;
+    }
+    BOOST_REQUIRE(settled.has_value());
+    // Both have shown up with the second read; three beats later nobody else is expected.
+    BOOST_TEST((*settled == TimePoint{10s} + 600ms));
+}
+
 // Guards against an upstream's speed being judged by its kind alone: the works' upstreams of one
 // kind differ by a factor of two.
 BOOST_AUTO_TEST_CASE(learnsTheSpeedOfEachUpstream)
--- a/src/rattandock/fleet/fleet_action.cpp
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -22,10 +22,10 @@
 std::string_view name(FleetNoteKind kind)
 {
     static constexpr std::array<std::string_view, fleetNoteKindCount> names{
-            "job-turned-away",   "job-broken-off", "job-failed",    "job-completed",
-            "tasks-offered",     "offer-ended",    "run-repeated",  "upstream-claimed",
-            "upstream-released", "upstream-lost",  "upstream-gone", "upstream-set-aside",
-            "upstream-restored", "peer-link",      "paused"};
+            "job-turned-away",    "job-broken-off",    "job-failed",     "job-completed",
+            "tasks-offered",      "offer-ended",       "offer-answered", "run-repeated",
+            "upstream-claimed",   "upstream-released", "upstream-lost",  "upstream-gone",
+            "upstream-set-aside", "upstream-restored", "peer-link",      "paused"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -38,6 +38,33 @@
            * static_cast<CoreWork>(expected.count());
 }
 
+FleetNote noteOf(const JobEnd &end, const FleetJob &job, const std::string &progress)
+{
+    const auto note = [&](FleetNoteKind kind, std::string_view reason) {
+        return FleetNote{kind, reason, job.id, "queue " + job.queue.value() + progress};
+    };
+    return std::visit(
+            Overloaded{
+                    [&](const JobCompleted &) { return note(FleetNoteKind::JobCompleted, "done"); },
+                    [&](const JobFailed &) { return note(FleetNoteKind::JobFailed, "attempts"); },
+                    [&](const JobTurnedAway &it) {
+                        return note(FleetNoteKind::JobTurnedAway, name(it.reason));
+                    },
+                    [&](const JobBrokenOff &it) {
+                        return note(FleetNoteKind::JobBrokenOff, name(it.reason));
+                    }},
+            end);
+}
+
+OfferResult offerResultOf(const JobEnd &end)
+{
+    return std::visit(Overloaded{[](const JobCompleted &) { return OfferResult::Done; },
+                                 [](const JobFailed &) { return OfferResult::Failed; },
+                                 [](const JobTurnedAway &) { return OfferResult::NotRun; },
+                                 [](const JobBrokenOff &) { return OfferResult::GivenUp; }},
+                      end);
+}
+
 Duration retryAfterFor(TurnedAway reason)
 {
     switch (reason) {
@@ -305,37 +332,25 @@
     }
     Job &job = found->second;
     stopTasks(number, job, now, actions);
-    const auto note = [&](FleetNoteKind kind, std::string_view reason) {
-        actions.emplace_back(FleetNote{kind, reason, job.spec.id,
-                                       "queue " + job.spec.queue.value() + ", tasks done "
-                                               + std::to_string(job.done) + " of "
-                                               + std::to_string(job.tasks.size()) + ", waiting "
-                                               + std::to_string(job.waiting)});
-    };
-    std::visit(Overloaded{[&](const JobCompleted &) { note(FleetNoteKind::JobCompleted, "done"); },
-                          [&](const JobFailed &) { note(FleetNoteKind::JobFailed, "attempts"); },
-                          [&](const JobTurnedAway &it) {
-                              note(FleetNoteKind::JobTurnedAway, name(it.reason));
+    const std::string progress = ", tasks done " + std::to_string(job.done) + " of "
+                                 + std::to_string(job.tasks.size()) + ", waiting "
+                                 + std::to_string(job.waiting);
+    std::visit(Overloaded{[&](CallerRequestId request) {
+                              actions.push_back(noteOf(end, job.spec, progress));
+                              actions.emplace_back(AnswerJob{request, job.spec.id, end});
+                              m_jobOfRequest.erase(request);
+                              m_jobOfId.erase(job.spec.id);
                           },
-                          [&](const JobBrokenOff &it) {
-                              note(FleetNoteKind::JobBrokenOff, name(it.reason));
+                          [&](const OfferOrigin &offer) {
+                              const OfferResult result = offerResultOf(end);
+                              actions.emplace_back(FleetNote{
+                                      FleetNoteKind::OfferAnswered, name(result), job.spec.id,
+                                      "from " + offer.vm.value() + progress});
+                              actions.emplace_back(
+                                      SendToVm{offer.vm, TaskOfferEnded{offer.number, result}});
+                              m_jobOfOffer.erase({offer.vm, offer.number});
                           }},
-               end);
-    if (const auto *const request = std::get_if<CallerRequestId>(&job.origin)) {
-        actions.emplace_back(AnswerJob{*request, job.spec.id, end});
-        m_jobOfRequest.erase(*request);
-        m_jobOfId.erase(job.spec.id);
-    } else {
-        const auto &offer = std::get<OfferOrigin>(job.origin);
-        const auto result =
-                std::visit(Overloaded{[](const JobCompleted &) { return OfferResult::Done; },
-                                      [](const JobFailed &) { return OfferResult::Failed; },
-                                      [](const JobTurnedAway &) { return OfferResult::NotRun; },
-                                      [](const JobBrokenOff &) { return OfferResult::GivenUp; }},
-                           end);
-        actions.emplace_back(SendToVm{offer.vm, TaskOfferEnded{offer.number, result}});
-        m_jobOfOffer.erase({offer.vm, offer.number});
-    }
+               job.origin);
     m_jobs.erase(found);
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -1,6 +1,7 @@
 // Load patterns replayed against one dispatcher, without other VMs or with scripted ones.
 #include "rattandock/fleet/fleet_dispatcher.hpp"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace rattandock;
@@ -177,6 +178,13 @@
     const auto &end = std::get<TaskOfferEnded>(sent[0].message);
     BOOST_TEST(end.number == 5);
     BOOST_TEST((end.result == OfferResult::NotRun));
+    // The job itself ends at the other VM; counted here too, each refusal would count twice.
+    const auto notes = take<FleetNote>();
+    BOOST_REQUIRE(!notes.empty());
+    BOOST_TEST((notes.back().kind == FleetNoteKind::OfferAnswered));
+    BOOST_TEST(notes.back().reason == "not-run");
+    BOOST_TEST(std::ranges::none_of(
+            notes, [](const FleetNote &it) { return it.kind == FleetNoteKind::JobTurnedAway; }));
 }
 
 // Guards against answering that tasks may have run, when all offers of them came back unstarted,
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -10,6 +10,10 @@
 /// take all others for dead. Two periods of the reads.
 constexpr Duration maxCountedGap = std::chrono::milliseconds{1500};
 
+/// Without a further VM for this long, the others are taken for gone. Three of the first beats,
+/// which come every 150 ms.
+constexpr Duration newcomerWait = std::chrono::milliseconds{450};
+
 } // namespace
 
 void Membership::see(const MemberRow &row)
@@ -38,6 +42,12 @@
         }
     }
     m_lastRead = now;
+    const auto shownUp = static_cast<std::size_t>(
+            std::ranges::count_if(m_members, [](const auto &it) { return it.second.hasChanged; }));
+    if (shownUp > m_shownUp) {
+        m_lastShownUp = now;
+    }
+    m_shownUp = shownUp;
 }
 
 void Membership::setLink(const VmId &vm, bool up)
@@ -47,10 +57,10 @@
     }
 }
 
-bool Membership::haveAllChanged() const
+bool Membership::hasSettled(TimePoint now) const
 {
-    return m_members.size() > 1
-           && std::ranges::all_of(m_members, [](const auto &it) { return it.second.hasChanged; });
+    // One of those that have changed is this VM itself.
+    return m_shownUp > 1 && (m_shownUp == m_members.size() || now - m_lastShownUp >= newcomerWait);
 }
 
 bool Membership::isAlive(const VmId &vm, Incarnation incarnation) const
