--- a/src/standins/fleet/main.cpp
+++ b/src/standins/fleet/main.cpp
@@ -43,6 +43,8 @@
             "late", "share of orders", cxxopts::value<double>()->default_value("0"))(
             "store-down", "seconds without a store, from the middle of the run",
             cxxopts::value<int>()->default_value("0"))(
+            "advertised-offset", "added to the ports of the runners in the store, for proxies",
+            cxxopts::value<std::uint16_t>()->default_value("0"))(
             "seed", "seed of all draws", cxxopts::value<std::uint64_t>()->default_value("1"))(
             "version", "print the version")("h,help", "print this help");
     return options;
@@ -63,8 +65,9 @@
 class Callers
 {
 public:
-    Callers(std::vector<std::uint16_t> ports, std::uint64_t seed)
+    Callers(std::vector<std::uint16_t> ports, RunWatch &watch, std::uint64_t seed)
         : m_ports(std::move(ports))
+        , m_watch(watch)
         , m_random(seed)
     {
     }
@@ -137,6 +140,9 @@
             }
             if (status == 503 || status == 429) {
                 ++answers.refused;
+                if (n == 0) {
+                    m_watch.refused(id);
+                }
                 return;
             }
             boost::this_fiber::sleep_for(milliseconds{1300});
@@ -145,6 +151,7 @@
     }
 
     std::vector<std::uint16_t> m_ports;
+    RunWatch &m_watch;
     std::mt19937_64 m_random;
     adapters::HttpConnections m_connections{32};
 };
@@ -193,7 +200,9 @@
         StandinRunner *const it = runners.back().get();
         isListening =
                 listen(at, [it](const auto &request) { return it->serve(request); }) && isListening;
-        store.put("servers", it->id(), it->row("s", zones[number % zones.size()], at));
+        const auto advertised =
+                static_cast<std::uint16_t>(at + arguments["advertised-offset"].as<std::uint16_t>());
+        store.put("servers", it->id(), it->row("s", zones[number % zones.size()], advertised));
     }
     if (!isListening) {
         std::cerr << "fleet-standin: a port is in use\n";
@@ -217,7 +226,7 @@
     const std::chrono::seconds down{arguments["store-down"].as<int>()};
     std::promise<Answers> finished;
     threads.spawn(0, [&] {
-        Callers callers{callerPorts, seed};
+        Callers callers{callerPorts, watch, seed};
         adapters::spawnFiber([&store, length, down] {
             if (down.count() == 0) {
                 return;
@@ -242,10 +251,13 @@
                                               {"brokenOff", seen.brokenOff},
                                               {"starts", watch.starts()},
                                               {"doubleRuns", watch.doubleRuns()},
-                                              {"startsOverRoom", watch.startsOverRoom()}})
+                                              {"startsOverRoom", watch.startsOverRoom()},
+                                              {"startsAfterRefusal", watch.startsAfterRefusal()}})
               << std::endl;
     // Its fibers still serve the VMs; the process ends with them.
-    std::_Exit(watch.doubleRuns() + watch.startsOverRoom() == 0 ? app::exitOk : app::exitFailed);
+    const std::size_t breaches =
+            watch.doubleRuns() + watch.startsOverRoom() + watch.startsAfterRefusal();
+    std::_Exit(breaches == 0 ? app::exitOk : app::exitFailed);
 }
 
 } // namespace
--- a/src/standins/fleet/standin_runner.cpp
+++ b/src/standins/fleet/standin_runner.cpp
@@ -35,6 +35,9 @@
 bool RunWatch::begin(const std::string &task)
 {
     ++m_starts;
+    if (m_refused.contains(task.substr(0, task.find('.')))) {
+        ++m_afterRefusal;
+    }
     if (++m_active[task] > 1) {
         ++m_doubleRuns;
         return false;
--- a/src/standins/fleet/standin_runner.hpp
+++ b/src/standins/fleet/standin_runner.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,16 +31,21 @@
     bool begin(const std::string &task);
     void end(const std::string &task);
     void overRoom() { ++m_overRoom; }
+    /// All attempts to hand this job in were refused, so none of its tasks may start any more.
+    void refused(const std::string &job) { m_refused.insert(job); }
 
     std::size_t starts() const { return m_starts; }
     std::size_t doubleRuns() const { return m_doubleRuns; }
     std::size_t startsOverRoom() const { return m_overRoom; }
+    std::size_t startsAfterRefusal() const { return m_afterRefusal; }
 
 private:
     std::map<std::string, int> m_active;
+    std::set<std::string> m_refused;
     std::size_t m_starts = 0;
     std::size_t m_doubleRuns = 0;
     std::size_t m_overRoom = 0;
+    std::size_t m_afterRefusal = 0;
 };
 
 /// One runner of the platform: starts, stops and lists runs under leases and fencing tokens.
--- a/src/standins/fleet/standin_test.cpp
+++ b/src/standins/fleet/standin_test.cpp
@@ -89,4 +89,15 @@
     BOOST_TEST(write(2).status == 503);
 }
 
+// Guards against a soak that does not see a start after all callers were refused.
+BOOST_AUTO_TEST_CASE(countsStartsAfterARefusal)
+{
+    RunWatch watch;
+    watch.refused("00ff");
+    watch.begin("00aa.0.0.1");
+    BOOST_TEST(watch.startsAfterRefusal() == 0);
+    watch.begin("00ff.0.0.1");
+    BOOST_TEST(watch.startsAfterRefusal() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
