Join logs of several VMs, and name where unfinished tasks were

Change: rattandockctl logs ID FILE... joins them; the last line of a job says where its unfinished tasks are and for how long; an offer lost with its link is noted with the VM.

--- a/completions/rattandockctl.bash
+++ b/completions/rattandockctl.bash
@@ -1,7 +1,7 @@
 # Completion of rattandockctl for bash: source this file.
 _rattandockctl() {
   local word=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD-1]} command=${COMP_WORDS[1]}
-  local commands="submit status job explain cancel drain token"
+  local commands="submit status job explain logs cancel drain token"
   local options="--caller --operator --timeout-ms --json --help"
   COMPREPLY=()
   if [ "$COMP_CWORD" -eq 1 ]; then
@@ -15,6 +15,10 @@
       ;;
     --caller | --operator | --timeout-ms | --key | --id) return ;;
   esac
+  if [ "$command" = logs ]; then
+    mapfile -t COMPREPLY < <(compgen -f -- "$word")
+    return
+  fi
   if [ "$command" = submit ]; then
     options="$options --file --key --id"
   fi
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -184,6 +185,8 @@
     std::optional<JobTurnedAway> refusalOf(const FleetJob &job, TimePoint now) const;
     void turnAway(CallerRequestId request, const FleetJob &job, const JobTurnedAway &end,
                   FleetActions &actions);
+    /// Where the unfinished tasks of a job are, for its last log line.
+    std::string unfinishedOf(JobNumber number, const Job &job, TimePoint now) const;
     void endJob(JobNumber number, const JobEnd &end, TimePoint now, FleetActions &actions);
     void giveUp(JobNumber number, TurnedAway ifUnstarted, BrokenOff ifStarted, TimePoint now,
                 FleetActions &actions);
--- a/src/rattandock/app/control.cpp
+++ b/src/rattandock/app/control.cpp
@@ -13,6 +13,7 @@
 #include "rattandock/adapters/http_client.hpp"
 #include "rattandock/app/exit_code.hpp"
 #include "rattandock/app/json_table.hpp"
+#include "rattandock/app/log_timeline.hpp"
 
 namespace rattandock::app {
 
@@ -22,11 +23,12 @@
 
 namespace {
 
-constexpr std::array<ControlCommand, 7> commands{{
+constexpr std::array<ControlCommand, 8> commands{{
         {"submit", "Submit a job and print its answer.", ""},
         {"status", "Show the state of the daemon.", ""},
         {"job", "Show the state of one job.", "ID"},
         {"explain", "Show what was decided about one job and why.", "ID"},
+        {"logs", "Join the lines about one job from the logs of several VMs.", "ID"},
         {"cancel", "Cancel the unstarted tasks of one job.", "ID"},
         {"drain", "Begin the planned stop of the daemon.", ""},
         {"token", "Get a home token for job ids.", ""},
@@ -77,10 +79,16 @@
         add("id", "whole id; no token is taken", cxxopts::value<std::string>());
     }
     add("h,help", "print this help");
+    if (command.name == "logs") {
+        add("FILE", "log of one VM", cxxopts::value<std::vector<std::string>>());
+    }
     if (!command.argument.empty()) {
         add(std::string{command.argument}, "id of the job", cxxopts::value<std::string>());
-        options.parse_positional({std::string{command.argument}});
-        options.positional_help(std::string{command.argument});
+        const std::string more = command.name == "logs" ? " FILE..." : "";
+        options.parse_positional(
+                more.empty() ? std::vector{std::string{command.argument}}
+                             : std::vector<std::string>{std::string{command.argument}, "FILE"});
+        options.positional_help(std::string{command.argument} + more);
     }
     return options;
 }
@@ -111,6 +119,9 @@
         if (m_command.name == "token") {
             return print(ask("caller", "POST", "/v1/tokens"));
         }
+        if (m_command.name == "logs") {
+            return joinLogs();
+        }
         const std::string id = adapters::percentEncode(text(std::string{m_command.argument}));
         if (m_command.name == "explain") {
             return print(ask("operator", "GET", "/v1/explain/" + id));
@@ -170,6 +181,33 @@
         return response.status < 400 ? exitOk : exitFailed;
     }
 
+    int joinLogs() const
+    {
+        const std::string id = text(std::string{m_command.argument});
+        if (m_options.count("FILE") == 0) {
+            throw UsageError{"FILE is missing"};
+        }
+        std::vector<VmLog> logs;
+        for (const std::string &it : m_options["FILE"].as<std::vector<std::string>>()) {
+            std::ifstream in{it};
+            if (!in) {
+                throw UsageError{it + " cannot be read"};
+            }
+            VmLog &log = logs.emplace_back(VmLog{it, {}});
+            for (std::string line; std::getline(in, line);) {
+                log.lines.push_back(line);
+            }
+        }
+        const auto lines = jobTimeline(id, logs);
+        for (const std::string &it : lines) {
+            m_out << it << '\n';
+        }
+        if (lines.empty()) {
+            m_err << "rattandockctl: no line names job " << id << "\n";
+        }
+        return lines.empty() ? exitFailed : exitOk;
+    }
+
     json::object readJob() const
     {
         const std::string file = text("file");
--- a/src/rattandock/app/control_test.cpp
+++ b/src/rattandock/app/control_test.cpp
@@ -211,4 +211,19 @@
     BOOST_TEST(text.str().find(commands) != std::string::npos, commands);
 }
 
+// Guards against a command line for logs that shows nothing, or ends well without a line found.
+BOOST_AUTO_TEST_CASE(joinsLogsOfFiles)
+{
+    const std::string log = "control_test_vm.log";
+    std::ofstream{log} << "2026-08-21 07:46:25,300 INFO  dispatch: job-failed reason=attempts "
+                          "(queue q) job=00ff\n";
+    const Run found = control({"logs", "00ff", log});
+    BOOST_TEST(found.code == exitOk);
+    BOOST_TEST(found.out.starts_with(log + ": 2026-08-21"));
+    BOOST_TEST(control({"logs", "00aa", log}).code == exitFailed);
+    BOOST_TEST(control({"logs", "00ff"}).code == exitUsage);
+    BOOST_TEST(control({"logs", "00ff", "missing.log"}).code == exitUsage);
+    std::remove(log.c_str());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -125,6 +125,10 @@
     std::erase_if(m_offers, [&](const auto &it) {
         if (it.second.vm == event.vm) {
             lost.push_back(it.second.job);
+            if (const auto job = m_jobs.find(it.second.job); job != m_jobs.end()) {
+                actions.emplace_back(FleetNote{FleetNoteKind::OfferEnded, "link-down",
+                                               job->second.spec.id, event.vm.value()});
+            }
         }
         return it.second.vm == event.vm;
     });
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -323,6 +323,29 @@
     });
 }
 
+std::string FleetDispatcher::unfinishedOf(JobNumber number, const Job &job, TimePoint now) const
+{
+    // Enough to find the cause; a job may have dozens of tasks.
+    constexpr std::size_t maxTasks = 3;
+    std::string text;
+    std::size_t shown = 0;
+    for (std::size_t n = 0; n < job.tasks.size() && shown < maxTasks; ++n) {
+        const Task &task = job.tasks[n];
+        if (task.state == TaskState::Running) {
+            ++shown;
+            text += ", task " + std::to_string(job.indices[n]) + " on " + task.upstream.value()
+                    + " for " + std::to_string(toMilliseconds(now - task.startedAt))
+                    + " ms, expected " + std::to_string(toMilliseconds(task.expected)) + " ms";
+        }
+    }
+    for (const auto &[offerNumber, offer] : m_offers) {
+        if (offer.job == number) {
+            text += ", " + std::to_string(offer.tasks.size()) + " at " + offer.vm.value();
+        }
+    }
+    return text;
+}
+
 void FleetDispatcher::endJob(JobNumber number, const JobEnd &end, TimePoint now,
                              FleetActions &actions)
 {
@@ -331,10 +354,13 @@
         return;
     }
     Job &job = found->second;
+    std::string progress = ", tasks done " + std::to_string(job.done) + " of "
+                           + std::to_string(job.tasks.size()) + ", waiting "
+                           + std::to_string(job.waiting);
+    if (!std::holds_alternative<JobCompleted>(end)) {
+        progress += unfinishedOf(number, job, now);
+    }
     stopTasks(number, job, now, actions);
-    const std::string progress = ", tasks done " + std::to_string(job.done) + " of "
-                                 + std::to_string(job.tasks.size()) + ", waiting "
-                                 + std::to_string(job.waiting);
     std::visit(Overloaded{[&](CallerRequestId request) {
                               actions.push_back(noteOf(end, job.spec, progress));
                               actions.emplace_back(AnswerJob{request, job.spec.id, end});
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -218,4 +218,29 @@
     BOOST_FAIL("the job was not answered");
 }
 
+// Guards against log lines of a broken-off job that do not name the upstream that held it up, or
+// the VM that was lost.
+BOOST_AUTO_TEST_CASE(namesWhereUnfinishedTasksAre)
+{
+    submit(1, job("hangs", 1, 400ms));
+    confirmStarts();
+    pass(1500ms);
+    auto notes = take<FleetNote>();
+    BOOST_REQUIRE(!notes.empty());
+    BOOST_TEST((notes.back().kind == FleetNoteKind::JobBrokenOff));
+    BOOST_TEST(notes.back().detail.find("task 0 on u for 14") != std::string::npos);
+    BOOST_TEST(notes.back().detail.find("expected 400 ms") != std::string::npos);
+
+    send(PeerLink{VmId{"b"}, true});
+    send(PeerRoomSeen{VmId{"b"}, zone, false, {{{64'000, 100}, {64'000, 100}}, 100, 128'000, 0}});
+    submit(2, job("offered", 4, 100ms));
+    take<FleetNote>();
+    send(PeerLink{VmId{"b"}, false});
+    notes = take<FleetNote>();
+    BOOST_TEST(std::ranges::any_of(notes, [](const FleetNote &it) {
+        return it.kind == FleetNoteKind::OfferEnded && it.reason == "link-down"
+               && it.job.value() == "offered" && it.detail == "b";
+    }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
