--- a/include/rattandock/adapters/http_connections.hpp
+++ b/include/rattandock/adapters/http_connections.hpp
@@ -48,8 +48,14 @@
     /// Puts the connection under its deadline, and takes it from there.
     void begin(Connection &connection, std::chrono::steady_clock::time_point deadline);
     void finish(Connection &connection);
+    /// Exchanges under way. Shared with the fiber that ends them, which may outlive this object.
+    struct Busy
+    {
+        std::vector<Connection *> connections;
+        bool isExpiring = false;
+    };
     /// Cancels exchanges whose deadline has passed; returns when there is none.
-    void expire();
+    static void expire(Busy &busy);
     static IoEnd write(Connection &connection, const std::string &text);
     static boost::system::error_code read(Connection &connection, HttpResponse &response,
                                           bool &keepAlive);
@@ -57,8 +63,7 @@
 
     const std::size_t m_maxIdle;
     std::map<boost::asio::ip::tcp::endpoint, std::vector<std::unique_ptr<Connection>>> m_idle;
-    std::vector<Connection *> m_busy;
-    bool m_isExpiring = false;
+    std::shared_ptr<Busy> m_busy = std::make_shared<Busy>();
     bool m_isShutDown = false;
 };
 
--- a/scripts/fault-soak.py
+++ b/scripts/fault-soak.py
@@ -190,7 +190,10 @@
             await self.draw_faults(proxies, loop)
             await asyncio.gather(*(self.ready(n, loop) for n in range(VMS)))
             out, _ = await asyncio.wait_for(world.communicate(), 30)
-            self.judge(json.loads(out), world.returncode)
+            if out:
+                self.judge(json.loads(out), world.returncode)
+            else:
+                self.problems.append(f"the stand-in ended with status {world.returncode}")
         except asyncio.TimeoutError:
             self.problems.append("callers still wait for answers 30 s after the last fault")
         finally:
--- a/src/rattandock/adapters/http_connections.cpp
+++ b/src/rattandock/adapters/http_connections.cpp
@@ -110,27 +110,27 @@
 {
     connection.deadline = deadline;
     connection.isExpired = false;
-    m_busy.push_back(&connection);
-    if (!m_isExpiring) {
-        m_isExpiring = true;
-        spawnFiber([this] { expire(); });
+    m_busy->connections.push_back(&connection);
+    if (!m_busy->isExpiring) {
+        m_busy->isExpiring = true;
+        spawnFiber([busy = m_busy] { expire(*busy); });
     }
 }
 
 void HttpConnections::finish(Connection &connection)
 {
-    std::erase(m_busy, &connection);
+    std::erase(m_busy->connections, &connection);
 }
 
-void HttpConnections::expire()
+void HttpConnections::expire(Busy &busy)
 {
     // One timer for all exchanges: a timer for each would be set and cancelled with every order.
     asio::steady_timer timer{IoThreads::currentIo()};
-    while (!m_busy.empty()) {
+    while (!busy.connections.empty()) {
         timer.expires_after(expiryInterval);
         awaitIo([&timer](auto handle) { timer.async_wait(handle); });
         const auto now = std::chrono::steady_clock::now();
-        for (Connection *const it : m_busy) {
+        for (Connection *const it : busy.connections) {
             if (now >= it->deadline) {
                 it->isExpired = true;
                 boost::system::error_code ignored;
@@ -138,7 +138,7 @@
             }
         }
     }
-    m_isExpiring = false;
+    busy.isExpiring = false;
 }
 
 bool HttpConnections::connect(const tcp::endpoint &server, Duration limit)
@@ -255,7 +255,7 @@
 {
     m_isShutDown = true;
     m_idle.clear();
-    for (Connection *const it : m_busy) {
+    for (Connection *const it : m_busy->connections) {
         boost::system::error_code ignored;
         it->socket.cancel(ignored);
     }
