Bound the age of the list of upstreams by which tasks are started

One answer of the store holds 500 rows, and 350 upstreams change 233 rows a second; a VM that had been cut off got a full answer each 1.1 s and stayed seconds behind. At 1,100 upstreams every VM would fall behind for good. Change: a full answer is followed by a read of the whole list. One VM of a zone reads and passes real changes on to the others, which read in turn only if nothing comes. The drain bound comes from the platform's settings.

--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -35,6 +35,8 @@
     /// With the lease of runs it must be over before callers resubmit (1,300 ms).
     Duration peerSilence = std::chrono::milliseconds{600};
     Duration stopLimit = std::chrono::milliseconds{4500};
+    /// An upstream that drains must get no new work this long after it said so.
+    Duration upstreamDrainLimit = std::chrono::milliseconds{2000};
 };
 
 /// The settings of `rattandockd`; docs/settings.md describes each key.
--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -27,6 +27,7 @@
 {
 public:
     using WriteKeepers = std::function<void(const fleet::WriteKeepers &)>;
+    using TakeUpstreamChanges = std::function<void(const fleet::UpstreamChanges &)>;
 
     /// Precondition: the references outlive the loop.
     FleetLoop(adapters::IoThreads &threads, const ports::Clock &clock, fleet::FleetOptions options,
@@ -34,7 +35,10 @@
 
     /// Sets where actions to peers and to the shared tables go, and starts the timer.
     /// Call once, on the I/O thread.
-    void start(ports::PeerPort &peers, WriteKeepers writeKeepers);
+    void start(ports::PeerPort &peers, WriteKeepers writeKeepers,
+               TakeUpstreamChanges takeUpstreamChanges);
+    /// Sends to the linked VMs of the own zone.
+    void sendToZone(const fleet::UpstreamChanges &changes);
 
     void post(fleet::FleetEvent event);
     /// Events of the peer streams. Thread safety: any thread.
@@ -77,6 +81,7 @@
     EventHistory &m_history;
     ports::PeerPort *m_peers = nullptr;
     WriteKeepers m_writeKeepers;
+    TakeUpstreamChanges m_takeUpstreamChanges;
     boost::asio::steady_timer m_timer;
     std::optional<TimePoint> m_armedFor;
     std::deque<fleet::FleetEvent> m_events;
--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -11,6 +11,7 @@
 #include "rattandock/adapters/metrics.hpp"
 #include "rattandock/app/fleet_loop.hpp"
 #include "rattandock/fleet/fleet_config.hpp"
+#include "rattandock/fleet/upstream_directory.hpp"
 #include "rattandock/ports/metadata_store.hpp"
 
 namespace rattandock::app {
@@ -38,11 +39,14 @@
 
     /// Precondition: the references outlive the object; start() is called at most once.
     FleetSync(ports::MetadataStore &store, FleetLoop &loop, DirectoryFormat format,
-              fleet::MemberRow self, boost::asio::io_context &io);
+              fleet::MemberRow self, fleet::DirectoryTimes directoryTimes,
+              boost::asio::io_context &io);
 
     void start(OnConfiguration onConfiguration, OnMembers onMembers);
     /// Carries out a write of keepers' rows; KeepersWritten follows.
     void writeKeepers(const fleet::WriteKeepers &order);
+    /// Takes what another VM of the zone has read.
+    void takeUpstreamChanges(const fleet::UpstreamChanges &changes);
     /// Ends the fibers; they return after their current call.
     void stop();
     std::size_t running() const { return m_running; }
@@ -65,7 +69,9 @@
     /// Suspends the fiber; false when stopping.
     bool pause(Duration span);
     ports::ReadResult readKeepers();
-    void takeUpstreams(const std::vector<ports::StoreRow> &rows, bool isWhole);
+    void followUpstreams();
+    void readUpstreams();
+    void takeUpstreams(const ports::StoreRows &rows, bool isWhole, TimePoint sentAt);
     void takeKeepers(const std::vector<ports::StoreRow> &rows, bool isWhole);
     void takeConfiguration(const std::vector<ports::StoreRow> &rows);
     void noteStore(const std::string &table, std::optional<ports::StoreFailure> failure);
@@ -74,6 +80,7 @@
     FleetLoop &m_loop;
     DirectoryFormat m_format;
     fleet::MemberRow m_self;
+    fleet::UpstreamDirectory m_directory;
     boost::asio::io_context &m_io;
     OnConfiguration m_onConfiguration;
     OnMembers m_onMembers;
--- a/include/rattandock/core/peer_message.hpp
+++ b/include/rattandock/core/peer_message.hpp
@@ -116,7 +116,7 @@
 using PeerMessage =
         std::variant<Heartbeat, ForwardJob, ForwardedAnswer, SlotRequest, SlotGrant, SlotRelease,
                      HandoverRecords, HandoverPointer, ConfigurationDelta, fleet::TaskOffer,
-                     fleet::TaskOfferEnded, fleet::TaskOfferWithdrawn>;
+                     fleet::TaskOfferEnded, fleet::TaskOfferWithdrawn, fleet::UpstreamChanges>;
 
 /// The stable name of the message's type, used in metrics and logs.
 std::string_view name(const PeerMessage &message);
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -48,6 +48,14 @@
     RoomReport roomReport(TimePoint now) const;
     /// True if this VM can take jobs: it keeps upstreams or knows VMs that do.
     bool canServe() const;
+    /// False if an upstream may have drained for too long without this VM knowing.
+    bool isListUsable(TimePoint now) const;
+    /// This VM's place among those of its zone that may read the list of upstreams for the others.
+    std::size_t readerRank() const { return m_members.rankInZone(m_options.vm); }
+    /// The linked VMs of the own zone.
+    std::vector<VmId> linkedInZone() const;
+    /// False for a link that carries messages from before a pause of this process.
+    bool isLinkFresh(const VmId &vm) const;
     /// True when a planned stop has nothing left to wait for.
     bool isStopped() const;
     /// Address of a kept upstream; nothing if it is not kept.
@@ -118,6 +126,7 @@
     void on(const JobArrived &event, TimePoint now, FleetActions &actions);
     void on(const CallerGone &event, TimePoint now, FleetActions &actions);
     void on(const UpstreamsSeen &event, TimePoint now, FleetActions &actions);
+    void on(const UpstreamsUnread &event, TimePoint now, FleetActions &actions);
     void on(const MembersRead &event, TimePoint now, FleetActions &actions);
     void on(const KeepersRead &event, TimePoint now, FleetActions &actions);
     void on(const KeepersWritten &event, TimePoint now, FleetActions &actions);
@@ -232,6 +241,9 @@
     bool m_hasMembers = false;
     bool m_hasKeepers = false;
     bool m_hasUpstreams = false;
+    /// How new the list of upstreams is, and whether the last try to read it failed.
+    TimePoint m_listAsOf = TimePoint::min();
+    bool m_isListUnread = false;
 };
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -32,6 +32,14 @@
     std::vector<UpstreamId> removed;
     /// `present` is the whole list.
     bool isWhole = false;
+    /// The list was at least as new as this; the moment of the event if absent and `isWhole`.
+    std::optional<TimePoint> asOf = std::nullopt;
+};
+
+/// The platform's list of upstreams could not be read.
+struct UpstreamsUnread
+{
+    TimePoint sentAt{};
 };
 
 /// All rows of the members' table, or a failed read.
@@ -145,8 +153,8 @@
 };
 
 using FleetEvent =
-        std::variant<JobArrived, CallerGone, UpstreamsSeen, MembersRead, KeepersRead,
-                     KeepersWritten, StartAnswered, StopAnswered, LookAnswered, LookFailed,
+        std::variant<JobArrived, CallerGone, UpstreamsSeen, UpstreamsUnread, MembersRead,
+                     KeepersRead, KeepersWritten, StartAnswered, StopAnswered, LookAnswered, LookFailed,
                      PeerLink, PeerRoomSeen, OfferArrived, OfferEnded, OfferWithdrawn,
                      UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
 
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "rattandock/fleet/fleet_job.hpp"
+#include "rattandock/fleet/upstream_entry.hpp"
 
 namespace rattandock::fleet {
 
@@ -70,4 +71,18 @@
     std::uint64_t number = 0;
 };
 
+/// Changes of the platform's list of upstreams between two versions of the store, from the VM of
+/// the zone that reads it. Sent at each read, so that the receivers know how old their list is.
+/// Size: 40 B and about 150 B for each upstream that changed.
+struct UpstreamChanges
+{
+    /// The receiver must know the list at this version or a later one.
+    std::uint64_t after = 0;
+    std::uint64_t version = 0;
+    /// Time from the read of `version` to the sending.
+    Duration age{};
+    std::vector<UpstreamEntry> present;
+    std::vector<UpstreamId> removed;
+};
+
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_options.hpp
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -27,6 +27,8 @@
     /// An upstream whose row vanished is still used this long, as rows may lapse while the store
     /// is away and come back within 2 s (platform's statement).
     Duration unlistedUse = 2500ms;
+    /// An upstream that drains must get no new work this long after it said so (platform's bound).
+    Duration drainLimit = 2000ms;
     /// The answer must leave this long before the caller's deadline to arrive in time.
     Duration answerMargin = 20ms;
     /// Jobs that wait here, at most.
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -77,6 +77,8 @@
     /// Alive members and their rows.
     std::map<VmId, MemberRow> alive() const;
     const MemberRow *find(const VmId &vm) const;
+    /// How many living VMs of the same zone come before this one, the heaviest first.
+    std::size_t rankInZone(const VmId &vm) const;
 
 private:
     struct Member
--- a/include/rattandock/ports/metadata_store.hpp
+++ b/include/rattandock/ports/metadata_store.hpp
@@ -28,6 +28,8 @@
     std::vector<StoreRow> rows;
     /// Version of the store at the moment of the reading.
     std::uint64_t version = 0;
+    /// Of changes only: the answer is full, and there may be more.
+    bool isPartial = false;
 };
 
 /// Rows that changed since a version, in order.
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -75,6 +75,20 @@
     return std::tie(number);
 }
 
+template <Is<fleet::UpstreamEntry> T>
+auto fields(T &it)
+{
+    auto &[id, service, zone, address, draining, capacity, labels] = it;
+    return std::tie(id, service, zone, address, draining, capacity, labels);
+}
+
+template <Is<fleet::UpstreamChanges> T>
+auto fields(T &it)
+{
+    auto &[after, version, age, present, removed] = it;
+    return std::tie(after, version, age, present, removed);
+}
+
 template <Is<core::Resources> T>
 auto fields(T &it)
 {
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -132,6 +132,18 @@
             shortNumber()};
 }
 
+fleet::UpstreamEntry upstreamEntry()
+{
+    return {UpstreamId{text()},
+            fleet::ServiceId{text()},
+            ZoneId{text()},
+            text(),
+            below(2) == 1,
+            {fleet::MilliCores{shortNumber()}, Megabytes{shortNumber()},
+             Accelerators{shortNumber()}},
+            listOf(text)};
+}
+
 core::PeerMessage messageOfType(std::size_t type)
 {
     switch (type) {
@@ -184,8 +196,11 @@
     case 10:
         return fleet::TaskOfferEnded{
                 number(), static_cast<fleet::OfferResult>(below(fleet::offerResultCount))};
-    default:
+    case 11:
         return fleet::TaskOfferWithdrawn{number()};
+    default:
+        return fleet::UpstreamChanges{number(), number(), duration(), listOf(upstreamEntry),
+                                      listOf([] { return UpstreamId{text()}; })};
     }
 }
 
@@ -268,6 +283,13 @@
     return number == b.number;
 }
 
+bool same(const fleet::UpstreamChanges &a, const fleet::UpstreamChanges &b)
+{
+    const auto &[after, version, age, present, removed] = a;
+    return after == b.after && version == b.version && age == b.age && present == b.present
+           && removed == b.removed;
+}
+
 bool same(const core::PeerMessage &a, const core::PeerMessage &b)
 {
     return a.index() == b.index()
@@ -371,7 +393,7 @@
     BOOST_TEST(refusalOf(changed(0, 'X')) == "wrong-magic");
     BOOST_TEST(refusalOf(changed(4, 3)) == "wrong-version");
     BOOST_TEST(refusalOf(changed(6, 0)) == "unknown-type");
-    BOOST_TEST(refusalOf(changed(6, 13)) == "unknown-type");
+    BOOST_TEST(refusalOf(changed(6, 14)) == "unknown-type");
     BOOST_TEST(refusalOf(changed(7, 0)) == "wrong-origin");
     BOOST_TEST(refusalOf(changed(8, 0)) == "wrong-size");
     BOOST_TEST(refusalOf(delta + "x") == "wrong-size");
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -257,6 +257,7 @@
     readMilliseconds(reader, "callerWaitMs", 100, maxHourMs, fleet.callerWait);
     readMilliseconds(reader, "peerSilenceMs", 100, 60'000, fleet.peerSilence);
     readMilliseconds(reader, "stopLimitMs", 0, maxHourMs, fleet.stopLimit);
+    readMilliseconds(reader, "upstreamDrainMs", 1000, 60'000, fleet.upstreamDrainLimit);
     return fleet;
 }
 
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -46,6 +46,7 @@
     options.zone = settings.dispatcher.zone;
     options.incarnation = incarnation;
     options.stopLimit = settings.fleet->stopLimit;
+    options.drainLimit = settings.fleet->upstreamDrainLimit;
     return options;
 }
 
@@ -74,7 +75,8 @@
         , orders(platform.makeOrders(connections))
         , history(metrics)
         , loop(threads, clock, optionsOf(settings, incarnation), *orders, history)
-        , sync(*store, loop, platform.directory, memberOf(settings, incarnation), threads.io(0))
+        , sync(*store, loop, platform.directory, memberOf(settings, incarnation),
+               fleet::DirectoryTimes{settings.fleet->upstreamDrainLimit}, threads.io(0))
         , api(loop, history, metrics, platform.callers, settings.dispatcher.vm,
               settings.fleet->callerWait)
     {
@@ -222,7 +224,8 @@
     }
     it.onThread([&it] {
         it.loop.start(*it.peers,
-                      [&it](const fleet::WriteKeepers &order) { it.sync.writeKeepers(order); });
+                      [&it](const fleet::WriteKeepers &order) { it.sync.writeKeepers(order); },
+                      [&it](const auto &changes) { it.sync.takeUpstreamChanges(changes); });
         it.sync.start([&it](fleet::FleetConfig config) { it.api.configure(std::move(config)); },
                       [&it](const auto &rows) { it.followMembers(rows); });
     });
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -40,13 +40,22 @@
 {
 }
 
-void FleetLoop::start(ports::PeerPort &peers, WriteKeepers writeKeepers)
+void FleetLoop::start(ports::PeerPort &peers, WriteKeepers writeKeepers,
+                      TakeUpstreamChanges takeUpstreamChanges)
 {
     m_peers = &peers;
     m_writeKeepers = std::move(writeKeepers);
+    m_takeUpstreamChanges = std::move(takeUpstreamChanges);
     post(fleet::TimerDue{});
 }
 
+void FleetLoop::sendToZone(const fleet::UpstreamChanges &changes)
+{
+    for (const VmId &it : m_dispatcher.linkedInZone()) {
+        m_peers->send({it, changes});
+    }
+}
+
 void FleetLoop::stop()
 {
     m_isStopped = true;
@@ -252,6 +261,13 @@
                           [&](const fleet::TaskOfferWithdrawn &it) {
                               post(fleet::OfferWithdrawn{event.from, it});
                           },
+                          [&](const fleet::UpstreamChanges &it) {
+                              // Notices a pause first.
+                              post(fleet::TimerDue{});
+                              if (m_dispatcher.isLinkFresh(event.from)) {
+                                  m_takeUpstreamChanges(it);
+                              }
+                          },
                           [](const auto &) {}},
                event.message);
 }
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -26,9 +26,9 @@
 /// Wait of a call for changes. A connection that went silent shows after it, and a configuration
 /// must be in force after 2 s.
 constexpr Duration changesWait = std::chrono::milliseconds{2000};
-/// The upstreams' rows change all the time, as each writes its state, so they are read at an
-/// interval. A draining upstream must get no new work after 2 s.
-constexpr Duration upstreamsInterval = std::chrono::milliseconds{1100};
+/// How often it is looked whether the list of upstreams must be read, at most and at least.
+constexpr Duration shortestReadPause = std::chrono::milliseconds{20};
+constexpr Duration longestReadPause = std::chrono::milliseconds{250};
 /// Least time between two reads of the keepers' rows: at a start each VM writes some of them.
 constexpr Duration keepersInterval = std::chrono::milliseconds{250};
 /// Beats of the first seconds, so that VMs that start together soon know of each other.
@@ -40,11 +40,13 @@
 } // namespace
 
 FleetSync::FleetSync(ports::MetadataStore &store, FleetLoop &loop, DirectoryFormat format,
-                     fleet::MemberRow self, boost::asio::io_context &io)
+                     fleet::MemberRow self, fleet::DirectoryTimes directoryTimes,
+                     boost::asio::io_context &io)
     : m_store(store)
     , m_loop(loop)
     , m_format(std::move(format))
     , m_self(std::move(self))
+    , m_directory(directoryTimes)
     , m_io(io)
 {
 }
@@ -59,11 +61,7 @@
                 [this] { return m_store.read(m_format.operatorTable, ""); },
                 [this](const auto &rows, bool) { takeConfiguration(rows); }});
     });
-    spawn([this] {
-        follow({m_format.upstreamsTable, Duration{}, upstreamsInterval,
-                [this] { return m_store.read(m_format.upstreamsTable, ""); },
-                [this](const auto &rows, bool isWhole) { takeUpstreams(rows, isWhole); }});
-    });
+    spawn([this] { followUpstreams(); });
     spawn([this] {
         follow({keepersTable, changesWait, keepersInterval, [this] { return readKeepers(); },
                 [this](const auto &rows, bool isWhole) { takeKeepers(rows, isWhole); }});
@@ -201,23 +199,75 @@
     return all;
 }
 
-void FleetSync::takeUpstreams(const std::vector<StoreRow> &rows, bool isWhole)
+void FleetSync::followUpstreams()
 {
-    fleet::UpstreamsSeen seen{{}, {}, isWhole};
-    for (const StoreRow &it : rows) {
+    while (!m_isStopping) {
+        const TimePoint now = m_loop.now();
+        const fleet::FleetDispatcher &dispatcher = m_loop.dispatcher();
+        const TimePoint due = dispatcher.isListUsable(now)
+                                      ? m_directory.nextRead(dispatcher.readerRank())
+                                      : now;
+        if (due > now) {
+            pause(std::clamp(due - now, shortestReadPause, longestReadPause));
+        } else {
+            readUpstreams();
+        }
+    }
+}
+
+void FleetSync::readUpstreams()
+{
+    const std::string &table = m_format.upstreamsTable;
+    const bool isWhole = m_directory.needsWhole();
+    const TimePoint sentAt = m_loop.now();
+    const ports::ReadResult result =
+            isWhole ? m_store.read(table, "")
+                    : m_store.changes(table, m_directory.version(), Duration{});
+    if (const auto *const failure = std::get_if<StoreFailure>(&result)) {
+        if (*failure == StoreFailure::HistoryGone) {
+            log(LogLevel::Info, LogPart::Platform,
+                "store history gone, reads again table=" + table);
+            m_directory.loseHistory();
+            return;
+        }
+        noteStore(table, *failure);
+        m_loop.post(fleet::UpstreamsUnread{sentAt});
+        pause(retryPause);
+        return;
+    }
+    noteStore(table, std::nullopt);
+    takeUpstreams(std::get<StoreRows>(result), isWhole, sentAt);
+}
+
+void FleetSync::takeUpstreams(const StoreRows &rows, bool isWhole, TimePoint sentAt)
+{
+    fleet::DirectoryRead read{{}, {}, rows.version, isWhole, rows.isPartial, sentAt};
+    for (const StoreRow &it : rows.rows) {
         if (it.isRemoved) {
-            seen.removed.emplace_back(it.key);
+            read.removed.emplace_back(it.key);
             m_unreadable.erase(it.key);
             continue;
         }
         if (auto entry = m_format.decodeUpstream(it.key, it.value)) {
-            seen.present.push_back(std::move(*entry));
+            read.present.push_back(std::move(*entry));
         } else if (m_unreadable.insert(it.key).second) {
             log(LogLevel::Warn, LogPart::Platform,
                 "upstream entry skipped reason=unreadable key=" + it.key);
         }
     }
-    m_loop.post(std::move(seen));
+    fleet::UpstreamDirectory::Update update = m_directory.take(std::move(read));
+    m_loop.post(std::move(update.seen));
+    if (update.changes) {
+        update.changes->age = m_loop.now() - sentAt;
+        m_loop.sendToZone(*update.changes);
+    }
+}
+
+void FleetSync::takeUpstreamChanges(const fleet::UpstreamChanges &changes)
+{
+    if (auto seen = m_directory.take(changes, m_loop.now())) {
+        m_loop.post(std::move(*seen));
+    }
 }
 
 void FleetSync::takeKeepers(const std::vector<StoreRow> &rows, bool isWhole)
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -103,6 +103,21 @@
     return m_stopAt && m_jobs.empty() && m_kept.empty() && m_writing.empty();
 }
 
+std::vector<VmId> FleetDispatcher::linkedInZone() const
+{
+    std::vector<VmId> result;
+    std::ranges::copy_if(m_linked, std::back_inserter(result), [&](const VmId &it) {
+        const MemberRow *const row = m_members.find(it);
+        return row != nullptr && row->zone == m_options.zone;
+    });
+    return result;
+}
+
+bool FleetDispatcher::isLinkFresh(const VmId &vm) const
+{
+    return m_linked.contains(vm) && !m_staleLinks.contains(vm);
+}
+
 const UpstreamEntry *FleetDispatcher::keptUpstream(const UpstreamId &id) const
 {
     const auto it = m_kept.find(id);
@@ -173,6 +188,8 @@
                                            + std::to_string(m_jobs.size()) + " jobs"});
     m_pausedAt = now;
     m_staleLinks = m_linked;
+    m_isListUnread = false;
+    m_listAsOf = TimePoint::min();
     std::vector<JobNumber> all;
     for (const auto &[number, job] : m_jobs) {
         all.push_back(number);
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -81,6 +81,9 @@
                 report.active = active;
                 answerLook(report);
             }
+            if (isListRead) {
+                send(UpstreamsSeen{{}, {}, false, now});
+            }
             send(TimerDue{});
         }
     }
@@ -111,6 +114,8 @@
         send(JobArrived{CallerRequestId{request}, job});
     }
 
+    /// Reads of the list of upstreams succeed and show no change.
+    bool isListRead = true;
     VmId self{"a"};
     Incarnation incarnation{7};
     ZoneId zone{"z"};
@@ -243,4 +248,49 @@
     }));
 }
 
+// Guards against a start on an upstream that has drained for longer than it may get work, as this
+// VM's list of upstreams is old although the store can be read.
+BOOST_AUTO_TEST_CASE(startsNothingByAnOldList)
+{
+    isListRead = false;
+    pass(2s);
+    submit(1, job("old", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().empty());
+    isListRead = true;
+    pass(20ms);
+    submit(2, job("new", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().size() >= 1);
+}
+
+// Guards against a fleet that stops because the store is away: nobody can drain an upstream then.
+BOOST_AUTO_TEST_CASE(goesOnByAnOldListWhileTheStoreIsAway)
+{
+    isListRead = false;
+    pass(1s);
+    send(UpstreamsUnread{now});
+    pass(5s);
+    submit(1, job("one", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().size() == 1);
+}
+
+// Guards against a VM that acts, after a pause, on a list from before it: upstreams may have begun
+// to drain meanwhile. A read that was under way says nothing, whether it failed or not.
+BOOST_AUTO_TEST_CASE(needsANewListAfterAPause)
+{
+    isListRead = false;
+    const TimePoint before = now;
+    now += 4s;
+    send(ProcessPaused{4s});
+    send(UpstreamsUnread{before});
+    send(UpstreamsSeen{{}, {}, false, before});
+    // Requests that lay in the sockets are past.
+    pass(150ms);
+    submit(1, job("one", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().empty());
+    isListRead = true;
+    pass(20ms);
+    submit(2, job("two", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().size() >= 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -4,6 +4,7 @@
 #include "rattandock/base/overloaded.hpp"
 #include "rattandock/fleet/fleet_dispatcher.hpp"
 #include "rattandock/fleet/keeper_assignment.hpp"
+#include "rattandock/fleet/upstream_directory.hpp"
 
 namespace rattandock::fleet {
 
@@ -17,6 +18,10 @@
 void FleetDispatcher::on(const UpstreamsSeen &event, TimePoint now, FleetActions & /*actions*/)
 {
     m_hasUpstreams = m_hasUpstreams || event.isWhole;
+    if (event.asOf || event.isWhole) {
+        m_listAsOf = std::max(m_listAsOf, event.asOf.value_or(now));
+        m_isListUnread = false;
+    }
     std::set<UpstreamId> present;
     for (const UpstreamEntry &it : event.present) {
         present.insert(it.id);
@@ -39,6 +44,20 @@
     }
 }
 
+void FleetDispatcher::on(const UpstreamsUnread &event, TimePoint /*now*/,
+                         FleetActions & /*actions*/)
+{
+    // A read that was under way during a pause of this process says nothing of the store.
+    m_isListUnread = m_isListUnread || !m_pausedAt || event.sentAt > *m_pausedAt;
+}
+
+bool FleetDispatcher::isListUsable(TimePoint now) const
+{
+    // While the store is away nobody can learn of a draining upstream, and work goes on. After a
+    // pause of this process an answer or a failure from after it has to come first.
+    return m_isListUnread || m_listAsOf + DirectoryTimes{m_options.drainLimit}.usableAge >= now;
+}
+
 void FleetDispatcher::seeUpstream(const UpstreamEntry &entry)
 {
     m_listed[entry.id] = Listed{entry, std::nullopt};
@@ -329,7 +348,7 @@
 bool FleetDispatcher::mayPlaceOn(const Kept &kept, TimePoint now) const
 {
     const UpstreamEntry &entry = kept.ledger.entry();
-    return !kept.isReleasing && !entry.draining && kept.ledger.takesOrders()
+    return !kept.isReleasing && !entry.draining && kept.ledger.takesOrders() && isListUsable(now)
            && m_watch.mayStart(entry.id, now);
 }
 
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -265,6 +265,9 @@
             read.rows.push_back(row);
         }
         post(n, process, std::move(read), 5ms);
+        post(n, process, UpstreamsSeen{{}, {}, false, m_now}, 5ms);
+    } else {
+        post(n, process, UpstreamsUnread{m_now}, 5ms);
     }
     at(m_now + 50ms, [this, n, process] { readStore(n, process); });
 }
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -81,6 +81,20 @@
     return result;
 }
 
+std::size_t Membership::rankInZone(const VmId &vm) const
+{
+    const auto self = m_members.find(vm);
+    if (self == m_members.end()) {
+        return 0;
+    }
+    const MemberRow &own = self->second.row;
+    return static_cast<std::size_t>(std::ranges::count_if(m_members, [&](const auto &it) {
+        const MemberRow &row = it.second.row;
+        const bool comesFirst = row.weight > own.weight || (row.weight == own.weight && row.vm < vm);
+        return row.zone == own.zone && comesFirst && !row.draining && isAlive(it.second);
+    }));
+}
+
 const MemberRow *Membership::find(const VmId &vm) const
 {
     const auto it = m_members.find(vm);
--- /dev/null
+++ b/src/rattandock/fleet/upstream_directory.cpp
@@ -0,0 +1,96 @@
+#include "rattandock/fleet/upstream_directory.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// Upstreams in one message to the VMs of the zone.
+constexpr std::size_t maxChangesPassedOn = 200;
+
+} // namespace
+
+TimePoint UpstreamDirectory::nextRead(std::size_t rank) const
+{
+    if (m_asOf == TimePoint::min() || m_needsWhole) {
+        return TimePoint::min();
+    }
+    const auto steps = static_cast<Duration::rep>(rank);
+    return m_asOf + m_times.interval + std::min(m_times.step * steps, m_times.longestDelay);
+}
+
+UpstreamDirectory::Update UpstreamDirectory::take(DirectoryRead read)
+{
+    Update update;
+    UpstreamsSeen &seen = update.seen;
+    if (read.version < m_version) {
+        // Changes that were passed on meanwhile are newer than these rows.
+        return update;
+    }
+    seen.isWhole = read.isWhole;
+    seen.removed = std::move(read.removed);
+    if (read.isWhole) {
+        std::set<UpstreamId> present;
+        for (const UpstreamEntry &it : read.present) {
+            present.insert(it.id);
+        }
+        for (const auto &[id, entry] : m_entries) {
+            if (!present.contains(id)) {
+                seen.removed.push_back(id);
+            }
+        }
+    }
+    std::ranges::copy_if(read.present, std::back_inserter(seen.present), [&](const auto &it) {
+        const auto known = m_entries.find(it.id);
+        return known == m_entries.end() || known->second != it;
+    });
+    apply(seen);
+    // Without an earlier version it isn't known what was removed, and a long list is read from the
+    // store at less cost than it is sent to every VM.
+    if (m_version > 0 && seen.present.size() + seen.removed.size() <= maxChangesPassedOn) {
+        update.changes = {m_version, read.version, {}, seen.present, seen.removed};
+    }
+    m_version = read.version;
+    // An answer that is full says nothing of when its last row was written.
+    if (!read.isPartial) {
+        m_asOf = std::max(m_asOf, read.sentAt);
+        seen.asOf = m_asOf;
+    } else {
+        update.changes.reset();
+    }
+    m_needsWhole = read.isPartial;
+    if (read.isWhole) {
+        seen.present = std::move(read.present);
+    }
+    return update;
+}
+
+std::optional<UpstreamsSeen> UpstreamDirectory::take(const UpstreamChanges &changes, TimePoint now)
+{
+    if (m_version == 0 || changes.after > m_version || changes.version < m_version) {
+        return std::nullopt;
+    }
+    UpstreamsSeen seen;
+    seen.present = changes.present;
+    seen.removed = changes.removed;
+    apply(seen);
+    m_version = changes.version;
+    m_needsWhole = false;
+    m_asOf = std::max(m_asOf, now - changes.age);
+    seen.asOf = m_asOf;
+    return seen;
+}
+
+void UpstreamDirectory::apply(UpstreamsSeen &seen)
+{
+    for (const UpstreamId &it : seen.removed) {
+        m_entries.erase(it);
+    }
+    for (const UpstreamEntry &it : seen.present) {
+        m_entries[it.id] = it;
+    }
+}
+
+} // namespace rattandock::fleet
