Read members and assign upstreams by zone and on changes

Cause: at 147 VMs and 1,100 upstreams a profile of the daemons showed walks of all upstreams every 20 ms (expireUnlisted), copies of all rows every 250 ms (considerAssignment), and every member's links worked out by every member (foreignChoices); all members were read and decoded every 0.7 s. Change: links between zones by a symmetric hash with a threshold, worked out when the VMs change; members' rows in the part of their zone, read at each beat only while links are missing; the assignment looks at the own zone and at zones without a VM, and only after a change; vanished rows have an index. Open: the assignment of a zone takes 0.43 ms at 147 VMs and 1.1 ms at 300.

--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -26,8 +26,14 @@
 class FleetLoop final : public ports::EventSink
 {
 public:
-    using WriteKeepers = std::function<void(const fleet::WriteKeepers &)>;
-    using TakeUpstreamChanges = std::function<void(const fleet::UpstreamChanges &)>;
+    /// Where the loop's needs go that concern the store.
+    struct StoreHooks
+    {
+        std::function<void(const fleet::WriteKeepers &)> writeKeepers;
+        std::function<void(const fleet::UpstreamChanges &)> takeUpstreamChanges;
+        /// A link went up or down.
+        std::function<void()> linkChanged;
+    };
 
     /// Precondition: the references outlive the loop.
     FleetLoop(adapters::IoThreads &threads, const ports::Clock &clock, fleet::FleetOptions options,
@@ -35,8 +41,7 @@
 
     /// Sets where actions to peers and to the shared tables go, and starts the timer.
     /// Call once, on the I/O thread.
-    void start(ports::PeerPort &peers, WriteKeepers writeKeepers,
-               TakeUpstreamChanges takeUpstreamChanges);
+    void start(ports::PeerPort &peers, StoreHooks hooks);
     /// Sends to the linked VMs of the own zone.
     void sendToZone(const fleet::UpstreamChanges &changes);
 
@@ -80,8 +85,7 @@
     ports::UpstreamOrders &m_orders;
     EventHistory &m_history;
     ports::PeerPort *m_peers = nullptr;
-    WriteKeepers m_writeKeepers;
-    TakeUpstreamChanges m_takeUpstreamChanges;
+    StoreHooks m_hooks;
     boost::asio::steady_timer m_timer;
     std::optional<TimePoint> m_armedFor;
     std::deque<fleet::FleetEvent> m_events;
--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,6 +12,7 @@
 #include "rattandock/adapters/metrics.hpp"
 #include "rattandock/app/fleet_loop.hpp"
 #include "rattandock/fleet/fleet_config.hpp"
+#include "rattandock/fleet/member_reads.hpp"
 #include "rattandock/fleet/upstream_directory.hpp"
 #include "rattandock/ports/metadata_store.hpp"
 
@@ -47,6 +49,8 @@
     void writeKeepers(const fleet::WriteKeepers &order);
     /// Takes what another VM of the zone has read.
     void takeUpstreamChanges(const fleet::UpstreamChanges &changes);
+    /// The next beat comes at once, unless the last one has just been.
+    void hurryBeat();
     /// Ends the fibers; they return after their current call.
     void stop();
     std::size_t running() const { return m_running; }
@@ -66,8 +70,11 @@
     void spawn(std::function<void()> function);
     void follow(const Table &table);
     void beat();
+    bool readMembers(const ZoneId &zone);
+    void learnZones();
     /// Suspends the fiber; false when stopping.
     bool pause(Duration span);
+    bool pause(boost::asio::steady_timer &timer, Duration span);
     ports::ReadResult readKeepers();
     void followUpstreams();
     void readUpstreams();
@@ -84,6 +91,11 @@
     boost::asio::io_context &m_io;
     OnConfiguration m_onConfiguration;
     OnMembers m_onMembers;
+    fleet::MemberReads m_memberReads;
+    std::set<ZoneId> m_zones;
+    std::map<ZoneId, std::vector<fleet::MemberRow>> m_members;
+    boost::asio::steady_timer *m_beatTimer = nullptr;
+    TimePoint m_lastBeat;
     std::set<std::string> m_lostTables;
     std::set<std::string> m_unreadable;
     std::vector<boost::asio::steady_timer *> m_pauses;
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "rattandock/fleet/fleet_action.hpp"
 #include "rattandock/fleet/fleet_event.hpp"
 #include "rattandock/fleet/fleet_options.hpp"
+#include "rattandock/fleet/member_reads.hpp"
 #include "rattandock/fleet/run_times.hpp"
 #include "rattandock/fleet/sharing.hpp"
 #include "rattandock/fleet/upstream_watch.hpp"
@@ -52,6 +53,7 @@
     bool isListUsable(TimePoint now) const;
     /// This VM's place among those of its zone that may read the list of upstreams for the others.
     std::size_t readerRank() const { return m_members.rankInZone(m_options.vm); }
+    MemberLinks memberLinks() const;
     /// The linked VMs of the own zone.
     std::vector<VmId> linkedInZone() const;
     /// False for a link that carries messages from before a pause of this process.
@@ -146,6 +148,9 @@
 
     // Upstreams (fleet_dispatcher_upstreams.cpp).
     void seeUpstream(const UpstreamEntry &entry);
+    void unlistUpstream(const UpstreamId &id);
+    /// The own zone, and zones whose upstreams have no VM of their own.
+    std::set<ZoneId> zonesToKeep(TimePoint now) const;
     void seeKeeper(const KeeperRow &row, TimePoint now, FleetActions &actions);
     void considerAssignment(TimePoint now, FleetActions &actions);
     void writeKeepers(const std::vector<UpstreamId> &upstreams, bool claim, TimePoint now,
@@ -208,6 +213,9 @@
 
     FleetOptions m_options;
     std::map<UpstreamId, Listed> m_listed;
+    std::map<ZoneId, std::set<UpstreamId>> m_listedIn;
+    /// Those of m_listed whose row is gone.
+    std::set<UpstreamId> m_unlisted;
     std::map<UpstreamId, KeeperRow> m_keepers;
     std::map<UpstreamId, Kept> m_kept;
     std::set<ZoneId> m_writing;
@@ -238,6 +246,8 @@
     TimePoint m_nextHousekeeping = TimePoint::min();
     /// Set while the runs of an upstream are given up: when they are over there for certain.
     std::optional<TimePoint> m_runsOverAt;
+    /// Something that considerAssignment() goes by has changed.
+    bool m_isAssignmentDue = true;
     bool m_hasMembers = false;
     bool m_hasKeepers = false;
     bool m_hasUpstreams = false;
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -42,10 +42,12 @@
     TimePoint sentAt{};
 };
 
-/// All rows of the members' table, or a failed read.
+/// Rows of the members' table, or a failed read.
 struct MembersRead
 {
     std::optional<std::vector<MemberRow>> rows;
+    /// The rows are all of this zone, or of all zones if absent.
+    std::optional<ZoneId> zone = std::nullopt;
 };
 
 /// Rows of the keepers' table.
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "rattandock/base/ids.hpp"
@@ -59,11 +60,14 @@
     }
 
     void see(const MemberRow &row);
-    /// The row is gone or belongs to another incarnation now.
-    void forgetAllBut(const std::map<VmId, MemberRow> &present);
-    /// All rows were read; rows that did not change since grow older.
-    void readSucceeded(TimePoint now);
-    void readFailed() { m_lastRead.reset(); }
+    /// Rows of the zone, or of all if there is none, that are gone.
+    void forgetAllBut(const std::map<VmId, MemberRow> &present,
+                      const std::optional<ZoneId> &zone = std::nullopt);
+    /// All rows of the zone, or of all zones, were read; rows that did not change since grow older.
+    void readSucceeded(TimePoint now, const std::optional<ZoneId> &zone = std::nullopt);
+    void readFailed() { m_lastRead.clear(); }
+    /// The zone was read at least once since the start.
+    bool wasRead(const ZoneId &zone) const;
     void setLink(const VmId &vm, bool up);
 
     /// True if all VMs that are likely to show up have: each row has changed since it was first
@@ -77,6 +81,10 @@
     /// Alive members and their rows.
     std::map<VmId, MemberRow> alive() const;
     const MemberRow *find(const VmId &vm) const;
+    /// Zones in which at least one VM is alive and takes upstreams.
+    std::set<ZoneId> servedZones() const;
+    /// True if every living VM of the zone, but the given one, is linked.
+    bool isZoneLinked(const ZoneId &zone, const VmId &self) const;
     /// How many living VMs of the same zone come before this one, the heaviest first.
     std::size_t rankInZone(const VmId &vm) const;
 
@@ -96,7 +104,9 @@
 
     Duration m_silence;
     std::map<VmId, Member> m_members;
-    std::optional<TimePoint> m_lastRead;
+    /// Last success by zone, without a zone for all, since the last failure.
+    std::map<std::optional<ZoneId>, TimePoint> m_lastRead;
+    std::set<std::optional<ZoneId>> m_everRead;
     /// Members whose row has changed, and when their number last grew.
     std::size_t m_shownUp = 0;
     TimePoint m_lastShownUp;
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -40,12 +40,10 @@
 {
 }
 
-void FleetLoop::start(ports::PeerPort &peers, WriteKeepers writeKeepers,
-                      TakeUpstreamChanges takeUpstreamChanges)
+void FleetLoop::start(ports::PeerPort &peers, StoreHooks hooks)
 {
     m_peers = &peers;
-    m_writeKeepers = std::move(writeKeepers);
-    m_takeUpstreamChanges = std::move(takeUpstreamChanges);
+    m_hooks = std::move(hooks);
     post(fleet::TimerDue{});
 }
 
@@ -136,7 +134,7 @@
                                           },
                                           it.message);
                               },
-                              [&](fleet::WriteKeepers &it) { m_writeKeepers(it); },
+                              [&](fleet::WriteKeepers &it) { m_hooks.writeKeepers(it); },
                               [&](fleet::ProbeUpstream &it) { probe(std::move(it)); },
                               [&](fleet::FleetNote &it) { m_history.note(it, now); }},
                    action);
@@ -242,6 +240,7 @@
     std::visit(Overloaded{[&](const core::PeerMessageReceived &it) { onPeerMessage(it); },
                           [&](const core::PeerLinkChanged &it) {
                               post(fleet::PeerLink{it.peer, it.up});
+                              m_hooks.linkChanged();
                           },
                           [](const auto &) {}},
                event);
@@ -265,7 +264,7 @@
                               // Notices a pause first.
                               post(fleet::TimerDue{});
                               if (m_dispatcher.isLinkFresh(event.from)) {
-                                  m_takeUpstreamChanges(it);
+                                  m_hooks.takeUpstreamChanges(it);
                               }
                           },
                           [](const auto &) {}},
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -20,8 +20,7 @@
 const std::string membersTable = "members";
 const std::string keepersTable = "keepers";
 
-/// How often a VM writes its row and reads those of the others. Three beats make a VM's silence;
-/// each costs two of the store's calls.
+/// How often a VM writes its row, and at most reads those of others. Two beats make a VM's silence.
 constexpr Duration beatInterval = std::chrono::milliseconds{700};
 /// Wait of a call for changes. A connection that went silent shows after it, and a configuration
 /// must be in force after 2 s.
@@ -34,6 +33,8 @@
 /// Beats of the first seconds, so that VMs that start together soon know of each other.
 constexpr Duration firstBeatInterval = std::chrono::milliseconds{150};
 constexpr std::uint64_t firstBeats = 10;
+/// Beats between two readings of the list of zones.
+constexpr std::uint64_t beatsPerZoneList = 16;
 /// Pause after a failed call.
 constexpr Duration retryPause = std::chrono::milliseconds{250};
 
@@ -48,6 +49,8 @@
     , m_self(std::move(self))
     , m_directory(directoryTimes)
     , m_io(io)
+    , m_memberReads(m_self.zone)
+    , m_zones{m_self.zone}
 {
 }
 
@@ -86,11 +89,17 @@
 }
 
 bool FleetSync::pause(Duration span)
+{
+    boost::asio::steady_timer timer{m_io};
+    return pause(timer, span);
+}
+
+bool FleetSync::pause(boost::asio::steady_timer &timer, Duration span)
 {
     if (m_isStopping) {
         return false;
     }
-    boost::asio::steady_timer timer{m_io, span};
+    timer.expires_after(span);
     m_pauses.push_back(&timer);
     adapters::awaitIo([&timer](auto handle) { timer.async_wait(handle); });
     std::erase(m_pauses, &timer);
@@ -145,33 +154,81 @@
 void FleetSync::beat()
 {
     while (!m_isStopping) {
-        ++m_self.beat;
+        const bool isStarting = ++m_self.beat <= firstBeats;
+        m_lastBeat = m_loop.now();
         m_self.draining = m_loop.dispatcher().status().stopping;
         const ports::WriteResult written =
-                m_store.write({{membersTable, "", m_self.vm.value(), adapters::encodeMember(m_self),
-                                std::nullopt}});
+                m_store.write({{membersTable, m_self.zone.value(), m_self.vm.value(),
+                                adapters::encodeMember(m_self), std::nullopt}});
         const auto *const writeFailure = std::get_if<StoreFailure>(&written);
-        const ports::ReadResult read = m_store.read(membersTable, "");
-        const auto *const readFailure = std::get_if<StoreFailure>(&read);
-        if (writeFailure != nullptr || readFailure != nullptr) {
-            noteStore(membersTable, writeFailure != nullptr ? *writeFailure : *readFailure);
-        } else {
+        if (writeFailure != nullptr) {
+            noteStore(membersTable, *writeFailure);
+        }
+        if (m_self.beat % beatsPerZoneList == 1) {
+            learnZones();
+        }
+        const TimePoint now = m_loop.now();
+        bool isRead = true;
+        for (const ZoneId &it :
+             m_memberReads.due(m_zones, m_loop.dispatcher().memberLinks(), isStarting, now)) {
+            isRead = isRead && readMembers(it);
+        }
+        if (isRead && writeFailure == nullptr) {
             noteStore(membersTable, std::nullopt);
         }
-        if (readFailure != nullptr) {
-            m_loop.post(fleet::MembersRead{});
-        } else {
-            std::vector<fleet::MemberRow> rows;
-            for (const StoreRow &it : std::get<StoreRows>(read).rows) {
-                if (auto row = adapters::decodeMember(it.key, it.value)) {
-                    rows.push_back(std::move(*row));
-                }
-            }
-            m_onMembers(rows);
-            m_loop.post(fleet::MembersRead{std::move(rows)});
+        boost::asio::steady_timer timer{m_io};
+        m_beatTimer = &timer;
+        pause(timer, isStarting ? firstBeatInterval : beatInterval);
+        m_beatTimer = nullptr;
+    }
+}
+
+void FleetSync::hurryBeat()
+{
+    // Links come and go by the dozen when VMs start or fail.
+    if (m_beatTimer != nullptr && m_loop.now() - m_lastBeat >= firstBeatInterval) {
+        m_beatTimer->cancel();
+    }
+}
+
+void FleetSync::learnZones()
+{
+    if (const auto parts = m_store.parts(membersTable)) {
+        for (const std::string &it : *parts) {
+            m_zones.insert(ZoneId{it});
+        }
+    }
+}
+
+bool FleetSync::readMembers(const ZoneId &zone)
+{
+    const ports::ReadResult read = m_store.read(membersTable, zone.value());
+    if (const auto *const failure = std::get_if<StoreFailure>(&read)) {
+        noteStore(membersTable, *failure);
+        m_loop.post(fleet::MembersRead{});
+        return false;
+    }
+    m_memberReads.note(zone, m_loop.now());
+    std::vector<fleet::MemberRow> rows;
+    for (const StoreRow &it : std::get<StoreRows>(read).rows) {
+        if (auto row = adapters::decodeMember(it.key, it.value); row && row->zone == zone) {
+            rows.push_back(std::move(*row));
+        }
+    }
+    const auto isSameVm = [](const fleet::MemberRow &a, const fleet::MemberRow &b) {
+        return a.vm == b.vm && a.peerAddress == b.peerAddress;
+    };
+    std::vector<fleet::MemberRow> &known = m_members[zone];
+    if (!std::ranges::equal(known, rows, isSameVm)) {
+        known = rows;
+        std::vector<fleet::MemberRow> all;
+        for (const auto &[it, members] : m_members) {
+            all.insert(all.end(), members.begin(), members.end());
         }
-        pause(m_self.beat <= firstBeats ? firstBeatInterval : beatInterval);
+        m_onMembers(all);
     }
+    m_loop.post(fleet::MembersRead{std::move(rows), zone});
+    return true;
 }
 
 ports::ReadResult FleetSync::readKeepers()
@@ -249,6 +306,7 @@
             continue;
         }
         if (auto entry = m_format.decodeUpstream(it.key, it.value)) {
+            m_zones.insert(entry->zone);
             read.present.push_back(std::move(*entry));
         } else if (m_unreadable.insert(it.key).second) {
             log(LogLevel::Warn, LogPart::Platform,
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -35,7 +35,9 @@
     dispatch(now, actions);
     if (now >= m_nextAssignment) {
         m_nextAssignment = now + m_options.assignmentInterval;
-        considerAssignment(now, actions);
+        if (m_isAssignmentDue) {
+            considerAssignment(now, actions);
+        }
     }
 }
 
@@ -129,6 +131,7 @@
     actions.emplace_back(
             FleetNote{FleetNoteKind::PeerLink, event.isUp ? "up" : "down", {}, event.vm.value()});
     m_members.setLink(event.vm, event.isUp);
+    m_isAssignmentDue = true;
     m_staleLinks.erase(event.vm);
     if (event.isUp) {
         m_linked.insert(event.vm);
@@ -175,6 +178,7 @@
 {
     if (!m_stopAt) {
         m_stopAt = now + m_options.stopLimit;
+        m_isAssignmentDue = true;
         m_nextAssignment = now;
     }
 }
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -128,6 +128,9 @@
     bool isServed = false;
     bool fits = false;
     for (const auto &[id, listed] : m_listed) {
+        if (fits) {
+            break;
+        }
         const bool serves = listed.entry.service == job.service;
         isServed = isServed || serves;
         fits = fits
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -22,24 +22,26 @@
         m_listAsOf = std::max(m_listAsOf, event.asOf.value_or(now));
         m_isListUnread = false;
     }
+    m_isAssignmentDue = m_isAssignmentDue || !event.present.empty() || !event.removed.empty();
     std::set<UpstreamId> present;
     for (const UpstreamEntry &it : event.present) {
         present.insert(it.id);
         seeUpstream(it);
     }
-    const auto unlist = [&](Listed &listed) {
+    const auto unlist = [&](const UpstreamId &id, Listed &listed) {
         listed.unlistedSince = listed.unlistedSince.value_or(now);
+        m_unlisted.insert(id);
     };
     if (event.isWhole) {
         for (auto &[id, listed] : m_listed) {
             if (!present.contains(id)) {
-                unlist(listed);
+                unlist(id, listed);
             }
         }
     }
     for (const UpstreamId &it : event.removed) {
         if (const auto listed = m_listed.find(it); listed != m_listed.end()) {
-            unlist(listed->second);
+            unlist(it, listed->second);
         }
     }
 }
@@ -60,28 +62,37 @@
 
 void FleetDispatcher::seeUpstream(const UpstreamEntry &entry)
 {
+    unlistUpstream(entry.id);
     m_listed[entry.id] = Listed{entry, std::nullopt};
+    m_listedIn[entry.zone].insert(entry.id);
     if (const auto kept = m_kept.find(entry.id); kept != m_kept.end()) {
         kept->second.ledger.update(entry);
     }
 }
 
+void FleetDispatcher::unlistUpstream(const UpstreamId &id)
+{
+    m_unlisted.erase(id);
+    if (const auto listed = m_listed.find(id); listed != m_listed.end()) {
+        m_listedIn[listed->second.entry.zone].erase(id);
+        m_listed.erase(listed);
+    }
+}
+
 void FleetDispatcher::expireUnlisted(TimePoint now, FleetActions &actions)
 {
     std::vector<UpstreamId> gone;
-    for (const auto &[id, listed] : m_listed) {
-        if (!listed.unlistedSince) {
-            continue;
-        }
-        const auto kept = m_kept.find(id);
+    for (const UpstreamId &it : m_unlisted) {
+        const Listed &listed = m_listed.at(it);
+        const auto kept = m_kept.find(it);
         const bool isSilent = kept == m_kept.end() || kept->second.ledger.isSilent();
         const bool hasLeft = listed.entry.draining && isSilent;
         if (hasLeft || now - *listed.unlistedSince >= m_options.unlistedUse) {
-            gone.push_back(id);
+            gone.push_back(it);
         }
     }
     for (const UpstreamId &it : gone) {
-        m_listed.erase(it);
+        unlistUpstream(it);
         if (m_kept.contains(it)) {
             actions.emplace_back(
                     FleetNote{FleetNoteKind::UpstreamGone, "unlisted", {}, it.value()});
@@ -96,20 +107,37 @@
         m_members.readFailed();
         return;
     }
-    m_hasMembers = true;
+    m_hasMembers = m_hasMembers || !event.zone || event.zone == m_options.zone;
+    m_isAssignmentDue = true;
     std::map<VmId, MemberRow> present;
     for (const MemberRow &it : *event.rows) {
         present.emplace(it.vm, it);
         m_members.see(it);
         m_members.setLink(it.vm, m_linked.contains(it.vm));
     }
-    m_members.forgetAllBut(present);
-    m_members.readSucceeded(now);
+    m_members.forgetAllBut(present, event.zone);
+    m_members.readSucceeded(now, event.zone);
+}
+
+MemberLinks FleetDispatcher::memberLinks() const
+{
+    MemberLinks links;
+    links.isOwnZoneLinked = m_members.isZoneLinked(m_options.zone, m_options.vm);
+    for (const VmId &it : m_linked) {
+        const MemberRow *const row = m_members.find(it);
+        if (row == nullptr) {
+            links.isOwnZoneLinked = false;
+        } else {
+            links.linkedZones.insert(row->zone);
+        }
+    }
+    return links;
 }
 
 void FleetDispatcher::on(const KeepersRead &event, TimePoint now, FleetActions &actions)
 {
     m_hasKeepers = m_hasKeepers || event.isWhole;
+    m_isAssignmentDue = true;
     for (const KeeperRow &it : event.rows) {
         seeKeeper(it, now, actions);
     }
@@ -118,6 +146,7 @@
 void FleetDispatcher::on(const KeepersWritten &event, TimePoint now, FleetActions &actions)
 {
     m_writing.erase(event.zone);
+    m_isAssignmentDue = true;
     for (const KeeperRow &it : event.rows) {
         seeKeeper(it, now, actions);
     }
@@ -148,23 +177,51 @@
     }
 }
 
+std::set<ZoneId> FleetDispatcher::zonesToKeep(TimePoint now) const
+{
+    std::set<ZoneId> zones{m_options.zone};
+    for (const auto &[id, kept] : m_kept) {
+        zones.insert(kept.ledger.entry().zone);
+    }
+    if (now - *m_startedAt < m_options.settleTime) {
+        return zones;
+    }
+    const std::set<ZoneId> served = m_members.servedZones();
+    for (const auto &[zone, upstreams] : m_listedIn) {
+        if (!served.contains(zone) && m_members.wasRead(zone)) {
+            zones.insert(zone);
+        }
+    }
+    return zones;
+}
+
 void FleetDispatcher::considerAssignment(TimePoint now, FleetActions &actions)
 {
     const MemberRow *const self = m_members.find(m_options.vm);
     if (!m_hasMembers || !m_hasKeepers || !m_hasUpstreams || !isSettled(now) || self == nullptr) {
         return;
     }
-    AssignmentView view{m_options.vm, m_members.alive(), {}, m_keepers};
+    m_isAssignmentDue = false;
+    AssignmentView view{m_options.vm, m_members.alive(), {}, {}};
     MemberRow &own = view.members[m_options.vm] = *self;
     own.incarnation = m_options.incarnation;
     own.draining = m_stopAt.has_value();
-    for (const auto &[id, listed] : m_listed) {
-        const bool isLeaving = listed.entry.draining || listed.unlistedSince;
-        if (!isLeaving || m_kept.contains(id)) {
-            view.upstreams.emplace(id, listed.entry.zone);
+    for (const ZoneId &zone : zonesToKeep(now)) {
+        for (const UpstreamId &id : m_listedIn[zone]) {
+            const Listed &listed = m_listed.at(id);
+            const bool isLeaving = listed.entry.draining || listed.unlistedSince;
+            if (isLeaving && !m_kept.contains(id)) {
+                continue;
+            }
+            view.upstreams.emplace(id, zone);
+            if (const auto keeper = m_keepers.find(id); keeper != m_keepers.end()) {
+                view.keepers.insert(*keeper);
+            }
         }
     }
     const AssignmentDecision decision = assignUpstreams(view);
+    // What cannot be done yet, as runs have to end or a zone has to be reached, is tried again.
+    m_isAssignmentDue = !decision.claim.empty() || !decision.release.empty();
     for (auto &[id, kept] : m_kept) {
         kept.isReleasing = std::ranges::find(decision.release, id) != decision.release.end();
     }
@@ -209,6 +266,7 @@
 void FleetDispatcher::on(const UpstreamProbed &event, TimePoint now, FleetActions & /*actions*/)
 {
     m_probing.erase(event.zone);
+    m_isAssignmentDue = true;
     if (event.isReachable) {
         m_zoneReached[event.zone] = now;
     }
@@ -337,7 +395,7 @@
                               [&](const UpstreamLost &it) {
                                   m_keepers.erase(it.upstream);
                                   if (it.reason == OrderResult::OtherIncarnation) {
-                                      m_listed.erase(it.upstream);
+                                      unlistUpstream(it.upstream);
                                   }
                                   dropUpstream(it.upstream, name(it.reason), now, actions);
                               }},
--- a/src/rattandock/fleet/keeper_assignment.cpp
+++ b/src/rattandock/fleet/keeper_assignment.cpp
@@ -20,77 +20,77 @@
 
 using Holders = std::map<VmId, Holder>;
 
-bool isKeptBy(const KeeperRow &row, const Holders &holders)
+/// Members that take upstreams, and upstreams, of one zone.
+struct ZoneShare
 {
-    const auto it = holders.find(row.vm);
-    return it != holders.end() && it->second.row->incarnation == row.incarnation;
-}
+    std::vector<Holder *> takers;
+    double weights = 0;
+    std::size_t upstreams = 0;
+
+    /// Upstreams of the zone that fall to a member by its weight.
+    double of(const MemberRow &member) const
+    {
+        return weights > 0 ? static_cast<double>(upstreams) * member.weight / weights : 0;
+    }
+};
+
+using ZoneShares = std::map<ZoneId, ZoneShare>;
 
-/// The member that an orphan goes to: the least loaded of its zone, else of all.
-Holder *leastLoaded(Holders &holders, const ZoneId &zone)
+ZoneShares sharesOf(Holders &holders, const AssignmentView &view)
 {
-    Holder *best = nullptr;
-    bool bestInZone = false;
+    ZoneShares shares;
     for (auto &[vm, holder] : holders) {
-        if (holder.row->draining) {
-            continue;
-        }
-        const bool inZone = holder.row->zone == zone;
-        const bool better = best == nullptr || (inZone && !bestInZone)
-                            || (inZone == bestInZone && holder.load() < best->load());
-        if (better) {
-            best = &holder;
-            bestInZone = inZone;
+        if (!holder.row->draining) {
+            ZoneShare &share = shares[holder.row->zone];
+            share.takers.push_back(&holder);
+            share.weights += holder.row->weight;
         }
     }
-    return best;
+    for (const auto &[upstream, zone] : view.upstreams) {
+        ++shares[zone].upstreams;
+    }
+    return shares;
 }
 
-/// Upstreams of the zone that fall to a member by its weight.
-double fairShare(const Holders &holders, const AssignmentView &view, const MemberRow &member)
+bool isKeptBy(const KeeperRow &row, const Holders &holders)
 {
-    double weights = 0;
-    for (const auto &[vm, holder] : holders) {
-        if (holder.row->zone == member.zone && !holder.row->draining) {
-            weights += holder.row->weight;
-        }
-    }
-    const auto count = std::ranges::count_if(
-            view.upstreams, [&](const auto &it) { return it.second == member.zone; });
-    return weights > 0 ? static_cast<double>(count) * member.weight / weights : 0;
+    const auto it = holders.find(row.vm);
+    return it != holders.end() && it->second.row->incarnation == row.incarnation;
 }
 
-bool someoneLacks(const Holders &holders, const AssignmentView &view, const MemberRow &self)
+Holder *leastLoaded(const std::vector<Holder *> &takers)
 {
-    return std::ranges::any_of(holders, [&](const auto &it) {
-        const MemberRow &row = *it.second.row;
-        return row.vm != self.vm && row.zone == self.zone && !row.draining
-               && static_cast<double>(it.second.ownZone)
-                          < std::floor(fairShare(holders, view, row));
+    const auto it = std::ranges::min_element(takers, {}, &Holder::load);
+    return it == takers.end() ? nullptr : *it;
+}
+
+bool someoneLacks(const ZoneShare &share, const MemberRow &self)
+{
+    return std::ranges::any_of(share.takers, [&](const Holder *it) {
+        return it->row->vm != self.vm
+               && static_cast<double>(it->ownZone) < std::floor(share.of(*it->row));
     });
 }
 
-std::vector<UpstreamId> surplus(const Holders &holders, const AssignmentView &view)
+std::vector<UpstreamId> surplus(const Holder &self, const ZoneShares &shares,
+                                const AssignmentView &view)
 {
     std::vector<UpstreamId> release;
-    const Holder &self = holders.at(view.self);
     std::vector<UpstreamId> ownZone;
     for (const UpstreamId &it : self.kept) {
         const ZoneId &zone = view.upstreams.at(it);
         const bool foreign = zone != self.row->zone;
-        const bool zoneHasVm = std::ranges::any_of(holders, [&](const auto &holder) {
-            return holder.second.row->zone == zone && !holder.second.row->draining;
-        });
-        if (self.row->draining || (foreign && zoneHasVm)) {
+        if (self.row->draining || (foreign && !shares.at(zone).takers.empty())) {
             release.push_back(it);
         } else if (!foreign) {
             ownZone.push_back(it);
         }
     }
-    if (self.row->draining || !someoneLacks(holders, view, *self.row)) {
+    const auto share = shares.find(self.row->zone);
+    if (self.row->draining || share == shares.end() || !someoneLacks(share->second, *self.row)) {
         return release;
     }
-    const auto keep = static_cast<std::size_t>(std::ceil(fairShare(holders, view, *self.row)));
+    const auto keep = static_cast<std::size_t>(std::ceil(share->second.of(*self.row)));
     if (ownZone.size() > keep) {
         release.insert(release.end(), ownZone.begin() + static_cast<std::ptrdiff_t>(keep),
                        ownZone.end());
@@ -121,9 +121,18 @@
             orphans.emplace_back(upstream, zone);
         }
     }
-    decision.release = surplus(holders, view);
+    const ZoneShares shares = sharesOf(holders, view);
+    decision.release = surplus(holders.at(view.self), shares, view);
+    std::vector<Holder *> everyone;
+    for (auto &[vm, holder] : holders) {
+        if (!holder.row->draining) {
+            everyone.push_back(&holder);
+        }
+    }
     for (const auto &[upstream, zone] : orphans) {
-        Holder *const taker = leastLoaded(holders, zone);
+        // The least loaded of its zone, else of all.
+        const std::vector<Holder *> &near = shares.at(zone).takers;
+        Holder *const taker = leastLoaded(near.empty() ? everyone : near);
         if (taker == nullptr) {
             break;
         }
--- a/src/rattandock/fleet/link_choice.cpp
+++ b/src/rattandock/fleet/link_choice.cpp
@@ -2,49 +2,34 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace rattandock::fleet {
 
 namespace {
 
-/// Links that each VM chooses to VMs of other zones; it also keeps those that others choose to it.
-constexpr std::size_t foreignLinks = 4;
+/// Links of a VM to VMs of other zones, on average.
+constexpr std::size_t meanForeignLinks = 8;
 
 /// A heartbeat takes about 70 us of both ends' processors, so a link's share is 0.7% of a core.
 constexpr Duration intervalPerLink = std::chrono::milliseconds{10};
 constexpr Duration shortestInterval = std::chrono::milliseconds{80};
 constexpr Duration longestInterval = std::chrono::milliseconds{200};
 
-/// FNV-1a, so that VMs of different builds agree.
+/// FNV-1a with a final mix, so that VMs of different builds agree. The same for both orders.
 std::uint64_t hashOf(const VmId &first, const VmId &second)
 {
     std::uint64_t hash = 0xcbf29ce484222325U;
-    for (const std::string *const it : {&first.value(), &second.value()}) {
-        for (const char byte : *it + '\n') {
+    const auto [low, high] = std::minmax(first, second);
+    for (const std::string *const it : {&low.value(), &high.value()}) {
+        for (const char byte : *it) {
             hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3U;
         }
+        hash = (hash ^ '\n') * 0x100000001b3U;
     }
-    return hash;
-}
-
-/// The VMs of other zones that a VM chooses itself.
-std::set<VmId> foreignChoices(const MemberRow &chooser, const std::map<VmId, MemberRow> &members)
-{
-    std::vector<std::pair<std::uint64_t, VmId>> ranked;
-    for (const auto &[vm, row] : members) {
-        if (row.zone != chooser.zone) {
-            ranked.emplace_back(hashOf(chooser.vm, vm), vm);
-        }
-    }
-    std::ranges::sort(ranked);
-    std::set<VmId> chosen;
-    for (std::size_t n = 0; n < std::min(ranked.size(), foreignLinks); ++n) {
-        chosen.insert(ranked[n].second);
-    }
-    return chosen;
+    hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccdU;
+    return hash ^ (hash >> 33U);
 }
 
 } // namespace
@@ -61,10 +46,21 @@
     if (own == members.end()) {
         return {};
     }
-    std::set<VmId> links = foreignChoices(own->second, members);
+    std::map<ZoneId, std::size_t> sizes;
     for (const auto &[vm, row] : members) {
-        const bool isNear = row.zone == own->second.zone;
-        if (vm != self && (isNear || foreignChoices(row, members).contains(self))) {
+        ++sizes[row.zone];
+    }
+    const ZoneId &zone = own->second.zone;
+    std::set<VmId> links;
+    for (const auto &[vm, row] : members) {
+        if (vm == self) {
+            continue;
+        }
+        // The share of pairs that are linked depends on both zones alike, so both ends agree.
+        const std::size_t choice = members.size() - std::max(sizes[zone], sizes[row.zone]);
+        constexpr std::uint64_t all = std::numeric_limits<std::uint64_t>::max();
+        if (row.zone == zone || choice <= meanForeignLinks
+            || hashOf(self, vm) < all / choice * meanForeignLinks) {
             links.insert(vm);
         }
     }
--- /dev/null
+++ b/src/rattandock/fleet/member_reads.cpp
@@ -0,0 +1,48 @@
+#include "rattandock/fleet/member_reads.hpp"
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// Four beats. VMs that were added or have left without a trace on the links show after it.
+constexpr Duration calmInterval = std::chrono::milliseconds{2800};
+
+} // namespace
+
+TimePoint MemberReads::lastRead(const ZoneId &zone) const
+{
+    const auto it = m_lastRead.find(zone);
+    return it == m_lastRead.end() ? TimePoint::min() : it->second;
+}
+
+std::vector<ZoneId> MemberReads::due(const std::set<ZoneId> &zones, const MemberLinks &links,
+                                     bool isStarting, TimePoint now) const
+{
+    std::vector<ZoneId> result;
+    const auto isOld = [&](TimePoint read) { return read + calmInterval <= now; };
+    if (isStarting || !links.isOwnZoneLinked || isOld(lastRead(m_own))) {
+        result.push_back(m_own);
+    }
+    // The zone that was read longest ago, and when any of the others was read last.
+    const ZoneId *oldest = nullptr;
+    TimePoint newestRead = TimePoint::min();
+    for (const ZoneId &it : zones) {
+        if (it == m_own) {
+            continue;
+        }
+        if (!links.linkedZones.contains(it) && !isStarting) {
+            result.push_back(it);
+            continue;
+        }
+        newestRead = std::max(newestRead, lastRead(it));
+        if (oldest == nullptr || lastRead(it) < lastRead(*oldest)) {
+            oldest = &it;
+        }
+    }
+    if (oldest != nullptr && (isStarting || isOld(newestRead))) {
+        result.push_back(*oldest);
+    }
+    return result;
+}
+
+} // namespace rattandock::fleet
--- /dev/null
+++ b/src/rattandock/fleet/member_reads_test.cpp
@@ -0,0 +1,107 @@
+#include "rattandock/fleet/member_reads.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "rattandock/fleet/membership.hpp"
+
+using namespace rattandock;
+using namespace rattandock::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+    std::vector<ZoneId> due(bool isStarting = false)
+    {
+        const auto result = reads.due(zones, links, isStarting, now);
+        for (const ZoneId &it : result) {
+            reads.note(it, now);
+        }
+        return result;
+    }
+
+    TimePoint now{100s};
+    std::set<ZoneId> zones{ZoneId{"a"}, ZoneId{"b"}, ZoneId{"c"}, ZoneId{"d"}};
+    MemberLinks links{zones, true};
+    MemberReads reads{ZoneId{"a"}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MemberReadsTest, Fixture)
+
+// Guards against reading all members with each beat, which grows with the square of the fleet: a
+// VM with all its links reads each zone in turn.
+BOOST_AUTO_TEST_CASE(readsLittleWhileAllLinksAreUp)
+{
+    std::map<ZoneId, int> count;
+    for (int beat = 0; beat < 80; ++beat) {
+        for (const ZoneId &it : due()) {
+            ++count[it];
+        }
+        now += 700ms;
+    }
+    BOOST_TEST(count[ZoneId{"a"}] == 20);
+    for (const char *const other : {"b", "c", "d"}) {
+        BOOST_TEST(count[ZoneId{other}] >= 6);
+        BOOST_TEST(count[ZoneId{other}] <= 7);
+    }
+}
+
+// Guards against a late takeover: a VM of the zone that lost its link must be judged by its row at
+// each beat.
+BOOST_AUTO_TEST_CASE(readsTheOwnZoneAtEachBeatWhileALinkIsMissing)
+{
+    due();
+    links.isOwnZoneLinked = false;
+    for (int beat = 0; beat < 3; ++beat) {
+        now += 700ms;
+        BOOST_TEST((due() == std::vector{ZoneId{"a"}}));
+    }
+}
+
+// Guards against a zone whose VMs are all gone being noticed only after a round of all zones.
+BOOST_AUTO_TEST_CASE(readsAZoneAtEachBeatWhileNoLinkLeadsThere)
+{
+    due();
+    links.linkedZones.erase(ZoneId{"c"});
+    now += 700ms;
+    BOOST_TEST((due() == std::vector{ZoneId{"c"}}));
+}
+
+// Guards against a VM that starts without knowing of its zone.
+BOOST_AUTO_TEST_CASE(readsTheOwnZoneAndAnotherWhileStarting)
+{
+    std::set<ZoneId> seen;
+    for (int beat = 0; beat < 3; ++beat) {
+        const auto zonesDue = due(true);
+        BOOST_TEST(zonesDue.size() == 2);
+        seen.insert(zonesDue.begin(), zonesDue.end());
+        now += 150ms;
+    }
+    BOOST_TEST(seen.size() == 4);
+}
+
+// Guards against VMs of a zone that was not read growing older with the reads of another.
+BOOST_AUTO_TEST_CASE(countsSilenceByZone)
+{
+    Membership members{1400ms};
+    const MemberRow near{VmId{"n"}, Incarnation{1}, ZoneId{"a"}, "127.0.0.1:1", 1, false, 1};
+    const MemberRow far{VmId{"f"}, Incarnation{1}, ZoneId{"b"}, "127.0.0.1:2", 1, false, 1};
+    members.see(near);
+    members.readSucceeded(now, near.zone);
+    members.see(far);
+    members.readSucceeded(now, far.zone);
+    for (int n = 0; n < 3; ++n) {
+        now += 700ms;
+        members.see(near);
+        members.forgetAllBut({{near.vm, near}}, near.zone);
+        members.readSucceeded(now, near.zone);
+    }
+    BOOST_TEST(!members.isAlive(near.vm, near.incarnation));
+    BOOST_TEST(members.isAlive(far.vm, far.incarnation));
+    BOOST_TEST((members.servedZones() == std::set{far.zone}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -28,20 +28,31 @@
     member.row = row;
 }
 
-void Membership::forgetAllBut(const std::map<VmId, MemberRow> &present)
+void Membership::forgetAllBut(const std::map<VmId, MemberRow> &present,
+                              const std::optional<ZoneId> &zone)
 {
-    std::erase_if(m_members, [&](const auto &it) { return !present.contains(it.first); });
+    std::erase_if(m_members, [&](const auto &it) {
+        return (!zone || it.second.row.zone == *zone) && !present.contains(it.first);
+    });
 }
 
-void Membership::readSucceeded(TimePoint now)
+bool Membership::wasRead(const ZoneId &zone) const
 {
-    if (m_lastRead) {
-        const Duration gap = std::min(now - *m_lastRead, maxCountedGap);
+    return m_everRead.contains(std::nullopt) || m_everRead.contains(zone);
+}
+
+void Membership::readSucceeded(TimePoint now, const std::optional<ZoneId> &zone)
+{
+    if (const auto last = m_lastRead.find(zone); last != m_lastRead.end()) {
+        const Duration gap = std::min(now - last->second, maxCountedGap);
         for (auto &[vm, member] : m_members) {
-            member.unchanged += gap;
+            if (!zone || member.row.zone == *zone) {
+                member.unchanged += gap;
+            }
         }
     }
-    m_lastRead = now;
+    m_lastRead[zone] = now;
+    m_everRead.insert(zone);
     const auto shownUp = static_cast<std::size_t>(
             std::ranges::count_if(m_members, [](const auto &it) { return it.second.hasChanged; }));
     if (shownUp > m_shownUp) {
@@ -81,6 +92,25 @@
     return result;
 }
 
+std::set<ZoneId> Membership::servedZones() const
+{
+    std::set<ZoneId> result;
+    for (const auto &[vm, member] : m_members) {
+        if (!member.row.draining && isAlive(member)) {
+            result.insert(member.row.zone);
+        }
+    }
+    return result;
+}
+
+bool Membership::isZoneLinked(const ZoneId &zone, const VmId &self) const
+{
+    return std::ranges::all_of(m_members, [&](const auto &it) {
+        const Member &member = it.second;
+        return member.row.zone != zone || it.first == self || member.linked || !isAlive(member);
+    });
+}
+
 std::size_t Membership::rankInZone(const VmId &vm) const
 {
     const auto self = m_members.find(vm);
