Keep each zone's keepers in a table of its own

Cause: every VM followed the keepers of all zones: at 147 VMs each of 1,100 claims, and each whole read after lost history, went to all of them. Change: a table for each zone. A VM follows its own, and reads those of zones without a VM while there are any; it claims nothing in a zone whose keepers it has not read.

--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -75,11 +75,11 @@
     /// Suspends the fiber; false when stopping.
     bool pause(Duration span);
     bool pause(boost::asio::steady_timer &timer, Duration span);
-    ports::ReadResult readKeepers();
+    void readForeignKeepers();
     void followUpstreams();
     void readUpstreams();
     void takeUpstreams(const ports::StoreRows &rows, bool isWhole, TimePoint sentAt);
-    void takeKeepers(const std::vector<ports::StoreRow> &rows, bool isWhole);
+    void takeKeepers(const ZoneId &zone, const std::vector<ports::StoreRow> &rows, bool isWhole);
     void takeConfiguration(const std::vector<ports::StoreRow> &rows);
     void noteStore(const std::string &table, std::optional<ports::StoreFailure> failure);
 
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -54,6 +54,8 @@
     /// This VM's place among those of its zone that may read the list of upstreams for the others.
     std::size_t readerRank() const { return m_members.rankInZone(m_options.vm); }
     MemberLinks memberLinks() const;
+    /// Other zones whose upstreams this VM may have to keep.
+    std::set<ZoneId> foreignZonesToKeep(TimePoint now) const;
     /// The linked VMs of the own zone.
     std::vector<VmId> linkedInZone() const;
     /// False for a link that carries messages from before a pause of this process.
@@ -149,8 +151,7 @@
     // Upstreams (fleet_dispatcher_upstreams.cpp).
     void seeUpstream(const UpstreamEntry &entry);
     void unlistUpstream(const UpstreamId &id);
-    /// The own zone, and zones whose upstreams have no VM of their own.
-    std::set<ZoneId> zonesToKeep(TimePoint now) const;
+    bool knowsKeepersOf(const ZoneId &zone) const;
     void seeKeeper(const KeeperRow &row, TimePoint now, FleetActions &actions);
     void considerAssignment(TimePoint now, FleetActions &actions);
     void writeKeepers(const std::vector<UpstreamId> &upstreams, bool claim, TimePoint now,
@@ -249,7 +250,9 @@
     /// Something that considerAssignment() goes by has changed.
     bool m_isAssignmentDue = true;
     bool m_hasMembers = false;
-    bool m_hasKeepers = false;
+    bool m_hasAllKeepers = false;
+    /// Zones whose keepers were read whole.
+    std::set<ZoneId> m_keepersReadOf;
     bool m_hasUpstreams = false;
     /// How new the list of upstreams is, and whether the last try to read it failed.
     TimePoint m_listAsOf = TimePoint::min();
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -50,11 +50,13 @@
     std::optional<ZoneId> zone = std::nullopt;
 };
 
-/// Rows of the keepers' table.
+/// Rows of a keepers' table.
 struct KeepersRead
 {
     std::vector<KeeperRow> rows;
     bool isWhole = false;
+    /// The rows are of this zone's table, or of all tables if absent.
+    std::optional<ZoneId> zone = std::nullopt;
 };
 
 /// A ClaimKeepers has ended. After a failure the rows show what holds now.
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -18,7 +18,8 @@
 namespace {
 
 const std::string membersTable = "members";
-const std::string keepersTable = "keepers";
+/// Each zone has its own, so that a VM follows those of its zone only. The store allows 100 tables.
+const std::string keepersTablePrefix = "keepers-";
 
 /// How often a VM writes its row, and at most reads those of others. Two beats make a VM's silence.
 constexpr Duration beatInterval = std::chrono::milliseconds{700};
@@ -35,9 +36,16 @@
 constexpr std::uint64_t firstBeats = 10;
 /// Beats between two readings of the list of zones.
 constexpr std::uint64_t beatsPerZoneList = 16;
+/// Between two reads of the keepers of a zone that has no VM of its own.
+constexpr Duration foreignKeepersInterval = std::chrono::milliseconds{700};
 /// Pause after a failed call.
 constexpr Duration retryPause = std::chrono::milliseconds{250};
 
+std::string keepersTableOf(const ZoneId &zone)
+{
+    return keepersTablePrefix + zone.value();
+}
+
 } // namespace
 
 FleetSync::FleetSync(ports::MetadataStore &store, FleetLoop &loop, DirectoryFormat format,
@@ -66,9 +74,14 @@
     });
     spawn([this] { followUpstreams(); });
     spawn([this] {
-        follow({keepersTable, changesWait, keepersInterval, [this] { return readKeepers(); },
-                [this](const auto &rows, bool isWhole) { takeKeepers(rows, isWhole); }});
+        const ZoneId &zone = m_self.zone;
+        follow({keepersTableOf(zone), changesWait, keepersInterval,
+                [this, zone] { return m_store.read(keepersTableOf(zone), zone.value()); },
+                [this, zone](const auto &rows, bool isWhole) {
+                    takeKeepers(zone, rows, isWhole);
+                }});
     });
+    spawn([this] { readForeignKeepers(); });
 }
 
 void FleetSync::spawn(std::function<void()> function)
@@ -231,29 +244,19 @@
     return true;
 }
 
-ports::ReadResult FleetSync::readKeepers()
+void FleetSync::readForeignKeepers()
 {
-    // Its version comes before those of the parts, so that no change is missed between them.
-    ports::ReadResult first = m_store.read(keepersTable, "");
-    if (std::holds_alternative<StoreFailure>(first)) {
-        return first;
-    }
-    const auto parts = m_store.parts(keepersTable);
-    if (!parts) {
-        return StoreFailure::NoAnswer;
-    }
-    StoreRows all = std::get<StoreRows>(std::move(first));
-    for (const std::string &part : *parts) {
-        if (part.empty()) {
-            continue;
-        }
-        ports::ReadResult read = m_store.read(keepersTable, part);
-        if (std::holds_alternative<StoreFailure>(read)) {
-            return read;
+    while (pause(foreignKeepersInterval)) {
+        for (const ZoneId &it : m_loop.dispatcher().foreignZonesToKeep(m_loop.now())) {
+            const ports::ReadResult read = m_store.read(keepersTableOf(it), it.value());
+            const auto *const failure = std::get_if<StoreFailure>(&read);
+            noteStore(keepersTableOf(it),
+                      failure != nullptr ? std::optional{*failure} : std::nullopt);
+            if (failure == nullptr) {
+                takeKeepers(it, std::get<StoreRows>(read).rows, true);
+            }
         }
-        std::ranges::move(std::get<StoreRows>(read).rows, std::back_inserter(all.rows));
     }
-    return all;
 }
 
 void FleetSync::followUpstreams()
@@ -328,9 +331,9 @@
     }
 }
 
-void FleetSync::takeKeepers(const std::vector<StoreRow> &rows, bool isWhole)
+void FleetSync::takeKeepers(const ZoneId &zone, const std::vector<StoreRow> &rows, bool isWhole)
 {
-    fleet::KeepersRead read{{}, isWhole};
+    fleet::KeepersRead read{{}, isWhole, zone};
     for (const StoreRow &it : rows) {
         if (it.isRemoved) {
             continue;
@@ -361,7 +364,7 @@
     spawn([this, order] {
         std::vector<ports::StoreWrite> writes;
         for (const fleet::KeeperRow &it : order.rows) {
-            writes.push_back({keepersTable, order.zone.value(), it.upstream.value(),
+            writes.push_back({keepersTableOf(order.zone), order.zone.value(), it.upstream.value(),
                               adapters::encodeKeeper(it), it.version});
         }
         fleet::KeepersWritten written{order.zone, std::nullopt, {}};
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -136,7 +136,10 @@
 
 void FleetDispatcher::on(const KeepersRead &event, TimePoint now, FleetActions &actions)
 {
-    m_hasKeepers = m_hasKeepers || event.isWhole;
+    if (event.isWhole && event.zone) {
+        m_keepersReadOf.insert(*event.zone);
+    }
+    m_hasAllKeepers = m_hasAllKeepers || (event.isWhole && !event.zone);
     m_isAssignmentDue = true;
     for (const KeeperRow &it : event.rows) {
         seeKeeper(it, now, actions);
@@ -177,28 +180,33 @@
     }
 }
 
-std::set<ZoneId> FleetDispatcher::zonesToKeep(TimePoint now) const
+bool FleetDispatcher::knowsKeepersOf(const ZoneId &zone) const
+{
+    return m_hasAllKeepers || m_keepersReadOf.contains(zone);
+}
+
+std::set<ZoneId> FleetDispatcher::foreignZonesToKeep(TimePoint now) const
 {
-    std::set<ZoneId> zones{m_options.zone};
+    std::set<ZoneId> zones;
     for (const auto &[id, kept] : m_kept) {
         zones.insert(kept.ledger.entry().zone);
     }
-    if (now - *m_startedAt < m_options.settleTime) {
-        return zones;
-    }
-    const std::set<ZoneId> served = m_members.servedZones();
-    for (const auto &[zone, upstreams] : m_listedIn) {
-        if (!served.contains(zone) && m_members.wasRead(zone)) {
-            zones.insert(zone);
+    if (m_startedAt && now - *m_startedAt >= m_options.settleTime) {
+        const std::set<ZoneId> served = m_members.servedZones();
+        for (const auto &[zone, upstreams] : m_listedIn) {
+            if (!upstreams.empty() && !served.contains(zone) && m_members.wasRead(zone)) {
+                zones.insert(zone);
+            }
         }
     }
+    zones.erase(m_options.zone);
     return zones;
 }
 
 void FleetDispatcher::considerAssignment(TimePoint now, FleetActions &actions)
 {
     const MemberRow *const self = m_members.find(m_options.vm);
-    if (!m_hasMembers || !m_hasKeepers || !m_hasUpstreams || !isSettled(now) || self == nullptr) {
+    if (!m_hasMembers || !knowsKeepersOf(m_options.zone) || !m_hasUpstreams || !isSettled(now) || self == nullptr) {
         return;
     }
     m_isAssignmentDue = false;
@@ -206,7 +214,10 @@
     MemberRow &own = view.members[m_options.vm] = *self;
     own.incarnation = m_options.incarnation;
     own.draining = m_stopAt.has_value();
-    for (const ZoneId &zone : zonesToKeep(now)) {
+    std::set<ZoneId> zones = foreignZonesToKeep(now);
+    std::erase_if(zones, [&](const ZoneId &it) { return !knowsKeepersOf(it); });
+    zones.insert(m_options.zone);
+    for (const ZoneId &zone : zones) {
         for (const UpstreamId &id : m_listedIn[zone]) {
             const Listed &listed = m_listed.at(id);
             const bool isLeaving = listed.entry.draining || listed.unlistedSince;
