--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -16,6 +16,8 @@
 constexpr double farFactor = 2.0;
 /// Part of the expected time kept before a caller's deadline: run times spread by 40%.
 constexpr double deadlineMargin = 0.4;
+/// A job is nearly done when at most one task in this many waits for a start.
+constexpr std::size_t nearlyDoneShare = 3;
 /// Jobs that one round of starts looks at, so that a long queue does not slow each event.
 constexpr std::size_t maxJobsPerRound = 100;
 
@@ -53,9 +55,9 @@
 
 std::vector<JobNumber> FleetDispatcher::waitingInOrder(TimePoint now) const
 {
-    // Begun jobs first, late ones too, as the work done for them would be thrown away; then by the
-    // last moment to start in time; late ones that have not begun after all others, the smallest
-    // first, so that most callers get an answer.
+    // Begun jobs first, then by the last moment to start in time; late ones after all others, the
+    // smallest first, so that most callers get an answer. A late job that is nearly done counts as
+    // begun: little room is missing, and all work done for it would be thrown away.
     using Rank = std::tuple<int, Duration::rep, std::uint32_t, JobNumber>;
     std::vector<Rank> order;
     for (const auto &[number, job] : m_jobs) {
@@ -64,14 +66,15 @@
         }
         const TimePoint latestStart = latestStartOf(job);
         const bool isLate = latestStart < now;
-        const bool hasBegun = !job.isUntouched();
-        const int rank = hasBegun ? 0 : isLate ? 2 : 1;
+        const bool isNearlyDone = job.waiting * nearlyDoneShare <= job.tasks.size();
+        const bool comesFirst = !job.isUntouched() && (!isLate || isNearlyDone);
+        const int rank = comesFirst ? 0 : isLate ? 2 : 1;
         Duration::rep key = latestStart.time_since_epoch().count();
-        if (hasBegun && isLate) {
-            key = job.deadline.time_since_epoch().count();
-        } else if (isLate) {
+        if (rank == 2) {
             key = static_cast<Duration::rep>(job.waiting) * job.spec.need.cpu.value()
                   * job.spec.estimate.count();
+        } else if (isLate) {
+            key = job.deadline.time_since_epoch().count();
         }
         order.emplace_back(rank, key, job.spec.priority, number);
     }
