Answer the open look in the test of a nearly done job

Cause: the test let a look without the run pass first, so the ledger took the run for lapsed. The test fails when late jobs come after all others.

--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -268,7 +268,7 @@
     report.active = {active.back()};
     report.ended = {{EndNumber{1}, active.front().name, active.front().number, RunEndKind::Done}};
     active.erase(active.begin());
-    pass(5ms);
+    BOOST_REQUIRE(isLookOpen);
     answerLook(report);
     const auto next = take<StartOrder>();
     BOOST_REQUIRE(next.size() == 1);
