Pass changes on from the list that the other VMs know

Cause: after a full answer of the store the changes were passed on as following that answer, which the other VMs had never seen; each of them then read everything itself. Change: a full answer is dropped, and the whole list that follows is compared with the last known one. The reader adapts its interval so that an answer holds about 350 rows. Tests: readsTheListWholeAfterAFullAnswer checks what is passed on, readsMoreOftenWhereMoreChanges.

--- a/include/rattandock/fleet/upstream_directory.hpp
+++ b/include/rattandock/fleet/upstream_directory.hpp
@@ -83,11 +83,14 @@
 
 private:
     void apply(UpstreamsSeen &seen);
+    void learnRate(const DirectoryRead &read);
 
     DirectoryTimes m_times;
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::uint64_t m_version = 0;
     TimePoint m_asOf = TimePoint::min();
+    /// In this time about as many rows change as one answer should hold.
+    Duration m_untilFull = Duration::max();
     bool m_needsWhole = true;
 };
 
--- a/src/rattandock/fleet/upstream_directory.cpp
+++ b/src/rattandock/fleet/upstream_directory.cpp
@@ -10,6 +10,9 @@
 /// Upstreams in one message to the VMs of the zone.
 constexpr std::size_t maxChangesPassedOn = 200;
 
+/// Changed rows that a read should find, well below the 500 of a full answer.
+constexpr Duration::rep rowsAimedAt = 350;
+
 } // namespace
 
 TimePoint UpstreamDirectory::nextRead(std::size_t rank) const
@@ -18,7 +21,8 @@
         return TimePoint::min();
     }
     const auto steps = static_cast<Duration::rep>(rank);
-    return m_asOf + m_times.interval + std::min(m_times.step * steps, m_times.longestDelay);
+    return m_asOf + std::min(m_times.interval, m_untilFull)
+           + std::min(m_times.step * steps, m_times.longestDelay);
 }
 
 UpstreamDirectory::Update UpstreamDirectory::take(DirectoryRead read)
@@ -29,6 +33,12 @@
         // Changes that were passed on meanwhile are newer than these rows.
         return update;
     }
+    learnRate(read);
+    if (read.isPartial) {
+        // It does not say when its last row was written, and the whole list follows.
+        m_needsWhole = true;
+        return update;
+    }
     seen.isWhole = read.isWhole;
     seen.removed = std::move(read.removed);
     if (read.isWhole) {
@@ -53,20 +63,24 @@
         update.changes = {m_version, read.version, {}, seen.present, seen.removed};
     }
     m_version = read.version;
-    // An answer that is full says nothing of when its last row was written.
-    if (!read.isPartial) {
-        m_asOf = std::max(m_asOf, read.sentAt);
-        seen.asOf = m_asOf;
-    } else {
-        update.changes.reset();
-    }
-    m_needsWhole = read.isPartial;
+    m_asOf = std::max(m_asOf, read.sentAt);
+    seen.asOf = m_asOf;
+    m_needsWhole = false;
     if (read.isWhole) {
         seen.present = std::move(read.present);
     }
     return update;
 }
 
+void UpstreamDirectory::learnRate(const DirectoryRead &read)
+{
+    const auto rows = static_cast<Duration::rep>(read.present.size() + read.removed.size());
+    if (read.isWhole || rows == 0 || m_asOf == TimePoint::min() || read.sentAt <= m_asOf) {
+        return;
+    }
+    m_untilFull = (read.sentAt - m_asOf) * rowsAimedAt / rows;
+}
+
 std::optional<UpstreamsSeen> UpstreamDirectory::take(const UpstreamChanges &changes, TimePoint now)
 {
     if (m_version == 0 || changes.after > m_version || changes.version < m_version) {
--- a/src/rattandock/fleet/upstream_directory_test.cpp
+++ b/src/rattandock/fleet/upstream_directory_test.cpp
@@ -52,6 +52,22 @@
     const auto last = directory.take(whole({entry("a"), entry("b", true)}, 90, now));
     BOOST_TEST(!directory.needsWhole());
     BOOST_TEST((last.seen.asOf == now));
+    // The others know the list as it was before the full answer.
+    BOOST_REQUIRE(last.changes.has_value());
+    BOOST_TEST(last.changes->after == 10);
+    BOOST_TEST(last.changes->present.size() == 1);
+}
+
+// Guards against a reader whose every answer is full: 1,100 upstreams change 733 rows a second.
+BOOST_AUTO_TEST_CASE(readsMoreOftenWhereMoreChanges)
+{
+    directory.take(whole({entry("a")}, 10, now));
+    now += 500ms;
+    DirectoryRead full = changed(std::vector<UpstreamEntry>(500, entry("a")), 20, now);
+    full.isPartial = true;
+    directory.take(full);
+    directory.take(whole({entry("a")}, 30, now));
+    BOOST_TEST((directory.nextRead(0) == now + 350ms));
 }
 
 // Guards against every row's counter being passed on to every VM of the zone.
