Hear over the links that a VM drains or has started anew

Change: heartbeats tell it. A row of another process than the one at the link's other end is read at the next beat. Tests: hearsOverTheLinkThatAVmDrains, readsTheRowOfAVmThatStartedAnew.

--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -113,6 +113,8 @@
     ZoneId zone;
     bool draining = false;
     RoomReport room;
+    /// Of the sending process; not every test names one.
+    std::optional<Incarnation> incarnation = std::nullopt;
 };
 
 struct OfferArrived
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -69,6 +69,8 @@
     /// The zone was read at least once since the start.
     bool wasRead(const ZoneId &zone) const;
     void setLink(const VmId &vm, bool up);
+    /// A heartbeat came over a link. Returns true if it tells more than the VM's row.
+    bool hear(const VmId &vm, Incarnation incarnation, bool draining);
 
     /// True if all VMs that are likely to show up have: each row has changed since it was first
     /// read, or some have and no further one did for a while.
@@ -83,7 +85,8 @@
     const MemberRow *find(const VmId &vm) const;
     /// Zones in which at least one VM is alive and takes upstreams.
     std::set<ZoneId> servedZones() const;
-    /// True if every living VM of the zone, but the given one, is linked.
+    /// True if every living VM of the zone, but the given one, is linked, and its row is that of
+    /// the process at the other end.
     bool isZoneLinked(const ZoneId &zone, const VmId &self) const;
     /// How many living VMs of the same zone come before this one, the heaviest first.
     std::size_t rankInZone(const VmId &vm) const;
@@ -95,6 +98,8 @@
         /// Time without a change, counted over successful reads only.
         Duration unchanged{};
         bool linked = false;
+        /// Of the last heartbeat; none after a link went down.
+        std::optional<Incarnation> heard;
         bool hasChanged = false;
     };
     bool isAlive(const Member &member) const
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -249,7 +249,8 @@
 void FleetLoop::onPeerMessage(const core::PeerMessageReceived &event)
 {
     std::visit(Overloaded{[&](const core::Heartbeat &it) {
-                              post(fleet::PeerRoomSeen{event.from, it.zone, it.draining, it.room});
+                              post(fleet::PeerRoomSeen{event.from, it.zone, it.draining, it.room,
+                                                       it.incarnation});
                           },
                           [&](const fleet::TaskOffer &it) {
                               post(fleet::OfferArrived{event.from, it});
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -167,6 +167,9 @@
 
 void FleetDispatcher::on(const PeerRoomSeen &event, TimePoint /*now*/, FleetActions & /*actions*/)
 {
+    if (event.incarnation && m_members.hear(event.vm, *event.incarnation, event.draining)) {
+        m_isAssignmentDue = true;
+    }
     if (event.draining || !m_linked.contains(event.vm)) {
         m_shared.forget(event.vm);
     } else {
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -405,6 +405,7 @@
                               },
                               [&](const UpstreamLost &it) {
                                   m_keepers.erase(it.upstream);
+                                  m_isAssignmentDue = true;
                                   if (it.reason == OrderResult::OtherIncarnation) {
                                       unlistUpstream(it.upstream);
                                   }
--- a/src/rattandock/fleet/member_reads_test.cpp
+++ b/src/rattandock/fleet/member_reads_test.cpp
@@ -104,4 +104,35 @@
     BOOST_TEST((members.servedZones() == std::set{far.zone}));
 }
 
+// Guards against upstreams without a keeper while a VM stops: the others of its zone read its row
+// only now and then, and went on leaving it its share for two seconds.
+BOOST_AUTO_TEST_CASE(hearsOverTheLinkThatAVmDrains)
+{
+    Membership members{1400ms};
+    MemberRow row{VmId{"n"}, Incarnation{1}, ZoneId{"a"}, "127.0.0.1:1", 1, false, 1};
+    members.see(row);
+    members.setLink(row.vm, true);
+    BOOST_TEST(!members.hear(row.vm, Incarnation{1}, false));
+    BOOST_TEST(members.hear(row.vm, Incarnation{1}, true));
+    BOOST_TEST(members.servedZones().empty());
+    // A row that was written before does not undo it.
+    members.see(row);
+    BOOST_TEST(members.servedZones().empty());
+}
+
+// Guards against a restarted VM being taken for its former process until its row is read.
+BOOST_AUTO_TEST_CASE(readsTheRowOfAVmThatStartedAnew)
+{
+    Membership members{1400ms};
+    MemberRow row{VmId{"n"}, Incarnation{1}, ZoneId{"a"}, "127.0.0.1:1", 1, false, 1};
+    members.see(row);
+    members.setLink(row.vm, true);
+    BOOST_TEST(members.isZoneLinked(row.zone, VmId{"self"}));
+    BOOST_TEST(members.hear(row.vm, Incarnation{2}, false));
+    BOOST_TEST(!members.isZoneLinked(row.zone, VmId{"self"}));
+    row.incarnation = Incarnation{2};
+    members.see(row);
+    BOOST_TEST(members.isZoneLinked(row.zone, VmId{"self"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -25,7 +25,25 @@
         member.unchanged = {};
         member.hasChanged = member.hasChanged || !isNew;
     }
+    // A process that stops does not take work again, whatever an older row says.
+    const bool wasDraining = member.row.draining && member.row.incarnation == row.incarnation;
     member.row = row;
+    member.row.draining = row.draining || wasDraining;
+}
+
+bool Membership::hear(const VmId &vm, Incarnation incarnation, bool draining)
+{
+    const auto it = m_members.find(vm);
+    if (it == m_members.end()) {
+        return false;
+    }
+    Member &member = it->second;
+    const bool isNewProcess = member.heard != incarnation && member.row.incarnation != incarnation;
+    member.heard = incarnation;
+    const bool beginsToDrain =
+            draining && !member.row.draining && member.row.incarnation == incarnation;
+    member.row.draining = member.row.draining || beginsToDrain;
+    return isNewProcess || beginsToDrain;
 }
 
 void Membership::forgetAllBut(const std::map<VmId, MemberRow> &present,
@@ -65,6 +83,9 @@
 {
     if (const auto it = m_members.find(vm); it != m_members.end()) {
         it->second.linked = up;
+        if (!up) {
+            it->second.heard.reset();
+        }
     }
 }
 
@@ -107,7 +128,10 @@
 {
     return std::ranges::all_of(m_members, [&](const auto &it) {
         const Member &member = it.second;
-        return member.row.zone != zone || it.first == self || member.linked || !isAlive(member);
+        const bool isCurrent = member.linked
+                               && member.heard.value_or(member.row.incarnation)
+                                          == member.row.incarnation;
+        return member.row.zone != zone || it.first == self || isCurrent || !isAlive(member);
     });
 }
 
