--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -72,12 +72,12 @@
     /// A heartbeat came over a link. Returns true if it tells more than the VM's row.
     bool hear(const VmId &vm, Incarnation incarnation, bool draining);
 
-    /// True if all VMs that are likely to show up have: each row has changed since it was first
-    /// read, or some have and no further one did for a while.
+    /// True if all VMs of the zone that are likely to show up have: each row has changed since it
+    /// was first read, or some have and no further one did for a while.
     ///
     /// Load pattern: all VMs return from a power loss within half a second, while rows of VMs that
     /// are gone for good never change.
-    bool hasSettled(TimePoint now) const;
+    bool hasSettled(const ZoneId &zone, TimePoint now) const;
 
     bool isAlive(const VmId &vm, Incarnation incarnation) const;
     /// Alive members and their rows.
@@ -114,9 +114,13 @@
     /// Last success by zone, without a zone for all, since the last failure.
     std::map<std::optional<ZoneId>, TimePoint> m_lastRead;
     std::set<std::optional<ZoneId>> m_everRead;
-    /// Members whose row has changed, and when their number last grew.
-    std::size_t m_shownUp = 0;
-    TimePoint m_lastShownUp;
+    /// Members of a zone whose row has changed, and when their number last grew.
+    struct ShownUp
+    {
+        std::size_t count = 0;
+        TimePoint grewAt;
+    };
+    std::map<ZoneId, ShownUp> m_shownUp;
 };
 
 } // namespace rattandock::fleet
--- a/src/rattandock/fleet/decisions_test.cpp
+++ b/src/rattandock/fleet/decisions_test.cpp
@@ -187,7 +187,7 @@
         members.see(other);
         members.see(gone);
         members.readSucceeded(now);
-        if (members.hasSettled(now) && !settled) {
+        if (members.hasSettled(own.zone, now) && !settled) {
             settled = now;
         }
         ++own.beat;
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -252,7 +252,7 @@
 
 bool FleetDispatcher::isSettled(TimePoint now) const
 {
-    return now - *m_startedAt >= m_options.settleTime || m_members.hasSettled(now);
+    return now - *m_startedAt >= m_options.settleTime || m_members.hasSettled(m_options.zone, now);
 }
 
 std::vector<UpstreamId> FleetDispatcher::reachable(const std::vector<UpstreamId> &upstreams,
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -71,12 +71,15 @@
     }
     m_lastRead[zone] = now;
     m_everRead.insert(zone);
-    const auto shownUp = static_cast<std::size_t>(
-            std::ranges::count_if(m_members, [](const auto &it) { return it.second.hasChanged; }));
-    if (shownUp > m_shownUp) {
-        m_lastShownUp = now;
+    std::map<ZoneId, std::size_t> shownUp;
+    for (const auto &[vm, member] : m_members) {
+        shownUp[member.row.zone] += member.hasChanged ? 1 : 0;
+    }
+    for (const auto &[it, count] : shownUp) {
+        if (ShownUp &known = m_shownUp[it]; count > known.count) {
+            known = {count, now};
+        }
     }
-    m_shownUp = shownUp;
 }
 
 void Membership::setLink(const VmId &vm, bool up)
@@ -89,10 +92,11 @@
     }
 }
 
-bool Membership::hasSettled(TimePoint now) const
+bool Membership::hasSettled(const ZoneId &zone, TimePoint now) const
 {
-    // One of those that have changed is this VM itself.
-    return m_shownUp > 1 && (m_shownUp == m_members.size() || now - m_lastShownUp >= newcomerWait);
+    const auto it = m_shownUp.find(zone);
+    return it != m_shownUp.end() && it->second.count > 0
+           && (it->second.count >= sizeOf(zone) || now - it->second.grewAt >= newcomerWait);
 }
 
 bool Membership::isAlive(const VmId &vm, Incarnation incarnation) const
