--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -160,8 +160,8 @@
 
 using FleetEvent =
         std::variant<JobArrived, CallerGone, UpstreamsSeen, UpstreamsUnread, MembersRead,
-                     KeepersRead, KeepersWritten, StartAnswered, StopAnswered, LookAnswered, LookFailed,
-                     PeerLink, PeerRoomSeen, OfferArrived, OfferEnded, OfferWithdrawn,
+                     KeepersRead, KeepersWritten, StartAnswered, StopAnswered, LookAnswered,
+                     LookFailed, PeerLink, PeerRoomSeen, OfferArrived, OfferEnded, OfferWithdrawn,
                      UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/member_reads.hpp
+++ b/include/rattandock/fleet/member_reads.hpp
@@ -23,8 +23,8 @@
 ///
 /// Load pattern: 147 VMs that each read all members every 0.7 s read more than half of what the
 /// store sent. A link shows that a VM lives, so the own zone, unless it is small, is read at each
-/// beat only while a link is missing, other zones only while no link leads there, and otherwise one after the other.
-/// Thread safety: none.
+/// beat only while a link is missing, other zones only while no link leads there, and otherwise one
+/// after the other. Thread safety: none.
 class MemberReads
 {
 public:
--- a/include/rattandock/fleet/upstream_directory.hpp
+++ b/include/rattandock/fleet/upstream_directory.hpp
@@ -45,7 +45,8 @@
     Duration usableAge;
 };
 
-/// One VM's copy of the platform's list of upstreams, with the version and the age of what it knows.
+/// One VM's copy of the platform's list of upstreams, with the version and the age of what it
+/// knows.
 ///
 /// Load pattern: each upstream rewrites its row every 1.5 s, although little but a counter changes.
 /// With 1,100 upstreams that is more than one answer of the store holds, and 147 VMs that each read
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -223,11 +223,10 @@
         return findings;
     }
     it.onThread([&it] {
-        it.loop.start(*it.peers, {[&it](const auto &order) { it.sync.writeKeepers(order); },
-                                  [&it](const auto &changes) {
-                                      it.sync.takeUpstreamChanges(changes);
-                                  },
-                                  [&it] { it.sync.hurryBeat(); }});
+        it.loop.start(*it.peers,
+                      {[&it](const auto &order) { it.sync.writeKeepers(order); },
+                       [&it](const auto &changes) { it.sync.takeUpstreamChanges(changes); },
+                       [&it] { it.sync.hurryBeat(); }});
         it.sync.start([&it](fleet::FleetConfig config) { it.api.configure(std::move(config)); },
                       [&it](const auto &rows) { it.followMembers(rows); });
     });
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -264,9 +264,8 @@
     while (!m_isStopping) {
         const TimePoint now = m_loop.now();
         const fleet::FleetDispatcher &dispatcher = m_loop.dispatcher();
-        const TimePoint due = dispatcher.isListUsable(now)
-                                      ? m_directory.nextRead(dispatcher.readerRank())
-                                      : now;
+        const TimePoint due =
+                dispatcher.isListUsable(now) ? m_directory.nextRead(dispatcher.readerRank()) : now;
         if (due > now) {
             pause(std::clamp(due - now, shortestReadPause, longestReadPause));
         } else {
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -207,7 +207,8 @@
 void FleetDispatcher::considerAssignment(TimePoint now, FleetActions &actions)
 {
     const MemberRow *const self = m_members.find(m_options.vm);
-    if (!m_hasMembers || !knowsKeepersOf(m_options.zone) || !m_hasUpstreams || !isSettled(now) || self == nullptr) {
+    if (!m_hasMembers || !knowsKeepersOf(m_options.zone) || !m_hasUpstreams || !isSettled(now)
+        || self == nullptr) {
         return;
     }
     m_isAssignmentDue = false;
--- a/src/rattandock/fleet/keeper_assignment.cpp
+++ b/src/rattandock/fleet/keeper_assignment.cpp
@@ -83,8 +83,7 @@
 {
     return std::ranges::any_of(share.takers, [&](const Holder *it) {
         return it->row->vm != self.vm
-               && static_cast<double>(it->countIn(it->row->zone))
-                          < std::floor(share.of(*it->row));
+               && static_cast<double>(it->countIn(it->row->zone)) < std::floor(share.of(*it->row));
     });
 }
 
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -132,9 +132,9 @@
 {
     return std::ranges::all_of(m_members, [&](const auto &it) {
         const Member &member = it.second;
-        const bool isCurrent = member.linked
-                               && member.heard.value_or(member.row.incarnation)
-                                          == member.row.incarnation;
+        const bool isCurrent =
+                member.linked
+                && member.heard.value_or(member.row.incarnation) == member.row.incarnation;
         return member.row.zone != zone || it.first == self || isCurrent || !isAlive(member);
     });
 }
@@ -154,7 +154,8 @@
     const MemberRow &own = self->second.row;
     return static_cast<std::size_t>(std::ranges::count_if(m_members, [&](const auto &it) {
         const MemberRow &row = it.second.row;
-        const bool comesFirst = row.weight > own.weight || (row.weight == own.weight && row.vm < vm);
+        const bool comesFirst =
+                row.weight > own.weight || (row.weight == own.weight && row.vm < vm);
         return row.zone == own.zone && comesFirst && !row.draining && isAlive(it.second);
     }));
 }
--- a/src/rattandock/fleet/takeover_test.cpp
+++ b/src/rattandock/fleet/takeover_test.cpp
@@ -87,8 +87,8 @@
         }
         for (const UpstreamId &it : claims) {
             const std::uint64_t version = versionIn(view, it) + 1;
-            view.keepers[it] = {it,      view.upstreams.at(it), keeper.vm, keeper.incarnation,
-                                version, version};
+            view.keepers[it] = {
+                    it, view.upstreams.at(it), keeper.vm, keeper.incarnation, version, version};
         }
     }
 
--- a/src/rattandock/fleet/upstream_directory_test.cpp
+++ b/src/rattandock/fleet/upstream_directory_test.cpp
@@ -10,8 +10,9 @@
 
 UpstreamEntry entry(const std::string &id, bool draining = false)
 {
-    return {UpstreamId{id}, ServiceId{"s"}, ZoneId{"z"}, "127.0.0.1:2", draining,
-            {MilliCores{64'000}, Megabytes{1024}, Accelerators{0}}, {"kind"}};
+    return {UpstreamId{id}, ServiceId{"s"}, ZoneId{"z"},
+            "127.0.0.1:2",  draining,       {MilliCores{64'000}, Megabytes{1024}, Accelerators{0}},
+            {"kind"}};
 }
 
 DirectoryRead whole(std::vector<UpstreamEntry> entries, std::uint64_t version, TimePoint sentAt)
