Refuse passed changes with an absurd age

Cause: the age of a message of another VM was trusted; one below zero would make an old list of upstreams look new, so that tasks start on upstreams that drain. Change: ages below zero or over a minute are refused. Test: refusesChangesWithAnAbsurdAge, which fails without the check.

--- a/src/rattandock/fleet/upstream_directory.cpp
+++ b/src/rattandock/fleet/upstream_directory.cpp
@@ -10,6 +10,8 @@
 /// Upstreams in one message to the VMs of the zone.
 constexpr std::size_t maxChangesPassedOn = 200;
 
+/// Changes that claim a greater age, or one below zero, come from a faulty sender.
+constexpr Duration longestSoundAge = std::chrono::minutes{1};
 /// Changed rows that a read should find, well below the 500 of a full answer.
 constexpr Duration::rep rowsAimedAt = 350;
 
@@ -83,7 +85,9 @@
 
 std::optional<UpstreamsSeen> UpstreamDirectory::take(const UpstreamChanges &changes, TimePoint now)
 {
-    if (m_version == 0 || changes.after > m_version || changes.version < m_version) {
+    const bool isAgeSound = changes.age >= Duration{} && changes.age <= longestSoundAge;
+    if (!isAgeSound || m_version == 0 || changes.after > m_version
+        || changes.version < m_version) {
         return std::nullopt;
     }
     UpstreamsSeen seen;
--- a/src/rattandock/fleet/upstream_directory_test.cpp
+++ b/src/rattandock/fleet/upstream_directory_test.cpp
@@ -103,6 +103,17 @@
     BOOST_TEST(directory.version() == 20);
 }
 
+// Guards against a message with an absurd age: by one below zero an old list would look new for as
+// long as the message says.
+BOOST_AUTO_TEST_CASE(refusesChangesWithAnAbsurdAge)
+{
+    directory.take(whole({entry("a")}, 10, now));
+    for (const Duration age : {Duration{-1}, Duration::min(), Duration::max()}) {
+        BOOST_TEST(!directory.take(UpstreamChanges{10, 20, age, {}, {}}, now).has_value());
+    }
+    BOOST_TEST((directory.asOf() == now));
+}
+
 // Guards against a draining upstream that looks ready again, as an answer that was read before the
 // passed changes is taken after them.
 BOOST_AUTO_TEST_CASE(dropsAnAnswerThatIsOlderThanWhatIsKnown)
