Close connections after the answers of a stop

Cause: ConnectionTest/answersWaitingCallersOnAStopWithoutDrain failed once beside load: the answer of a waiting job had no "Connection: close". The daemon answered waiting callers before its server knew of the stop, and the I/O thread could send the answer in between. Change: servers close connections after their next answer before waiting callers are answered, in both daemons.

--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -302,6 +302,12 @@
     if (std::exchange(m_parts->isStopped, true)) {
         return;
     }
+    for (auto *server : {&m_parts->callerServer, &m_parts->operatorServer}) {
+        if (*server) {
+            // The answers of a stop say that the connection ends.
+            (*server)->closeAfterAnswers();
+        }
+    }
     if (!m_parts->loop.isStopped()) {
         // After a whole drain the core still answers at once, and better.
         m_parts->answers.answerAllUnknown();
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -290,6 +290,12 @@
     if (std::exchange(it.isStopped, true)) {
         return;
     }
+    for (auto *server : {&it.callerServer, &it.operatorServer}) {
+        if (*server) {
+            // The answers of a stop say that the connection ends.
+            (*server)->closeAfterAnswers();
+        }
+    }
     it.onThread([&it] {
         it.sync.stop();
         it.loop.stop();
