Read a zone again when a VM there starts anew

Change: a zone is read at the next beat when a heartbeat comes from another process than its row's. Test: readsAnotherZoneAgainWhenAVmThereStartsAnew.

--- a/include/rattandock/fleet/member_reads.hpp
+++ b/include/rattandock/fleet/member_reads.hpp
@@ -12,7 +12,8 @@
 /// What the links of a VM tell about the members of each zone.
 struct MemberLinks
 {
-    /// Zones with at least one VM that a link is up to.
+    /// Zones with at least one VM that a link is up to, and no such VM that has started anew since
+    /// its row was read.
     std::set<ZoneId> linkedZones;
     /// Every VM of the own zone that counts as alive has a link, and every link a known VM.
     bool isOwnZoneLinked = false;
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -88,6 +88,8 @@
     /// True if every living VM of the zone, but the given one, is linked, and its row is that of
     /// the process at the other end.
     bool isZoneLinked(const ZoneId &zone, const VmId &self) const;
+    /// False if another process than that of the row answers over the VM's link.
+    bool isRowCurrent(const VmId &vm) const;
     /// VMs of the zone with a row, alive or not.
     std::size_t sizeOf(const ZoneId &zone) const;
     /// How many living VMs of the same zone come before this one, the heaviest first.
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -320,4 +320,17 @@
     BOOST_TEST(take<StartOrder>().size() >= 1);
 }
 
+// Guards against keeping a zone's upstreams for 3 s after its only VM has started anew: the row of
+// its former process was taken for its own until the zone's turn to be read came.
+BOOST_AUTO_TEST_CASE(readsAnotherZoneAgainWhenAVmThereStartsAnew)
+{
+    const MemberRow far{VmId{"far"}, Incarnation{1}, ZoneId{"y"}, "127.0.0.1:3", 1, false, 1};
+    send(MembersRead{std::vector{far}, far.zone});
+    send(PeerLink{far.vm, true});
+    send(PeerRoomSeen{far.vm, far.zone, false, {}, Incarnation{1}});
+    BOOST_TEST(dispatcher.memberLinks().linkedZones.contains(far.zone));
+    send(PeerRoomSeen{far.vm, far.zone, false, {}, Incarnation{2}});
+    BOOST_TEST(!dispatcher.memberLinks().linkedZones.contains(far.zone));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -124,14 +124,18 @@
     MemberLinks links;
     links.isOwnZoneLinked = m_members.isZoneLinked(m_options.zone, m_options.vm);
     links.ownZoneSize = m_members.sizeOf(m_options.zone);
+    std::set<ZoneId> outdated;
     for (const VmId &it : m_linked) {
         const MemberRow *const row = m_members.find(it);
         if (row == nullptr) {
             links.isOwnZoneLinked = false;
         } else {
-            links.linkedZones.insert(row->zone);
+            (m_members.isRowCurrent(it) ? links.linkedZones : outdated).insert(row->zone);
         }
     }
+    for (const ZoneId &it : outdated) {
+        links.linkedZones.erase(it);
+    }
     return links;
 }
 
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -132,13 +132,18 @@
 {
     return std::ranges::all_of(m_members, [&](const auto &it) {
         const Member &member = it.second;
-        const bool isCurrent =
-                member.linked
-                && member.heard.value_or(member.row.incarnation) == member.row.incarnation;
+        const bool isCurrent = member.linked && isRowCurrent(it.first);
         return member.row.zone != zone || it.first == self || isCurrent || !isAlive(member);
     });
 }
 
+bool Membership::isRowCurrent(const VmId &vm) const
+{
+    const auto it = m_members.find(vm);
+    return it != m_members.end()
+           && it->second.heard.value_or(it->second.row.incarnation) == it->second.row.incarnation;
+}
+
 std::size_t Membership::sizeOf(const ZoneId &zone) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/rattandock/fleet/upstream_directory.cpp
+++ b/src/rattandock/fleet/upstream_directory.cpp
@@ -86,8 +86,7 @@
 std::optional<UpstreamsSeen> UpstreamDirectory::take(const UpstreamChanges &changes, TimePoint now)
 {
     const bool isAgeSound = changes.age >= Duration{} && changes.age <= longestSoundAge;
-    if (!isAgeSound || m_version == 0 || changes.after > m_version
-        || changes.version < m_version) {
+    if (!isAgeSound || m_version == 0 || changes.after > m_version || changes.version < m_version) {
         return std::nullopt;
     }
     UpstreamsSeen seen;
