--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -148,7 +148,7 @@
     void on(const ProcessPaused &event, TimePoint now, FleetActions &actions);
     void on(const TimerDue &event, TimePoint now, FleetActions &actions);
 
-    // Upstreams (fleet_dispatcher_upstreams.cpp).
+    // Upstreams (fleet_dispatcher_upstreams.cpp, fleet_dispatcher_assignment.cpp).
     void seeUpstream(const UpstreamEntry &entry);
     void unlistUpstream(const UpstreamId &id);
     bool knowsKeepersOf(const ZoneId &zone) const;
