Allow links to change before the fleet's loop has started

Cause: found by reading: the listener for other VMs runs before the loop gets its hooks, and an empty std::function would throw if a link changed in between. Change: the hook does nothing until it is set.

--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -26,13 +26,13 @@
 class FleetLoop final : public ports::EventSink
 {
 public:
-    /// Where the loop's needs go that concern the store.
+    /// Where the loop's needs go that concern the store. Links may change before start().
     struct StoreHooks
     {
         std::function<void(const fleet::WriteKeepers &)> writeKeepers;
         std::function<void(const fleet::UpstreamChanges &)> takeUpstreamChanges;
         /// A link went up or down.
-        std::function<void()> linkChanged;
+        std::function<void()> linkChanged = [] {};
     };
 
     /// Precondition: the references outlive the loop.
