Start no task in a zone that the operator evacuates

The operator's table can hold rows evacuate/ZONE, which nothing read. An operator could not empty a zone without draining each of its upstreams.

The loop that reads the configuration now also decodes these rows and hands the set of zones to the dispatcher with the store's version and the time at which the read was sent. An empty answer renews that time; a removed row and a whole read without the row withdraw the request. mayPlaceOn() refuses upstreams of these zones. If a limit is set, it also refuses all upstreams while the set is so old that a request could have passed its limit unnoticed.

--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -24,6 +24,9 @@
     std::string upstreamsTable;
     std::string operatorTable;
     std::string configurationKey;
+    /// Start of the keys in the operator's table that request the evacuation of the zone whose name
+    /// follows.
+    std::string evacuationKeyPrefix;
     std::function<std::optional<fleet::UpstreamEntry>(const std::string &id, std::string_view)>
             decodeUpstream;
     std::function<std::optional<fleet::FleetConfig>(std::string_view)> decodeConfiguration;
@@ -61,10 +64,13 @@
     {
         std::string name;
         /// Wait for changes, and the least time between two calls.
-        Duration wait{};
+        std::function<Duration()> wait;
         Duration interval{};
         std::function<ports::ReadResult()> readWhole;
-        std::function<void(const std::vector<ports::StoreRow> &rows, bool isWhole)> take;
+        /// Called after each answer, also if it has no rows. `sentAt`: when the call was sent.
+        std::function<void(const ports::StoreRows &rows, bool isWhole, TimePoint sentAt)> take;
+        /// Called after each failed call that was sent at the given time.
+        std::function<void(TimePoint sentAt)> failed = [](TimePoint) {};
     };
 
     void spawn(std::function<void()> function);
@@ -81,6 +87,7 @@
     void takeUpstreams(const ports::StoreRows &rows, bool isWhole, TimePoint sentAt);
     void takeKeepers(const ZoneId &zone, const std::vector<ports::StoreRow> &rows, bool isWhole);
     void takeConfiguration(const std::vector<ports::StoreRow> &rows);
+    void takeEvacuations(const ports::StoreRows &rows, bool isWhole, TimePoint sentAt);
     void noteStore(const std::string &table, std::optional<ports::StoreFailure> failure);
 
     ports::MetadataStore &m_store;
@@ -98,6 +105,8 @@
     TimePoint m_lastBeat;
     std::set<std::string> m_lostTables;
     std::set<std::string> m_unreadable;
+    /// Zones with a request for their evacuation at the last read.
+    std::set<ZoneId> m_evacuatedZones;
     std::vector<boost::asio::steady_timer *> m_pauses;
     std::size_t m_running = 0;
     bool m_isStopping = false;
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -15,6 +15,7 @@
 #include "rattandock/fleet/run_times.hpp"
 #include "rattandock/fleet/sharing.hpp"
 #include "rattandock/fleet/upstream_quarantine.hpp"
+#include "rattandock/fleet/zone_evacuation.hpp"
 
 namespace rattandock::fleet {
 
@@ -56,6 +57,14 @@
     /// Returns false if the list of upstreams is so old that tasks could be started on an upstream
     /// whose drain limit has passed.
     bool isUpstreamListUsable(TimePoint now) const;
+    /// Returns false if the set of evacuated zones is so old that a task could be started in a zone
+    /// after the limit of its evacuation.
+    bool areEvacuationsUsable(TimePoint now) const;
+    /// Returns how long the next read of the requests for evacuations may wait for changes.
+    Duration evacuationReadWait(TimePoint now) const
+    {
+        return m_evacuations.readWait(now, m_options.evacuationLimit);
+    }
     /// Returns this VM's rank among the VMs of its zone that may read the list of upstreams on
     /// behalf of the others. Rank 0 reads first.
     std::size_t listReaderRank() const { return m_members.rankInZone(m_options.vm); }
@@ -159,6 +168,8 @@
     void handleEvent(const CallerDisconnected &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamListRead &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamListReadFailed &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const EvacuationsRead &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const EvacuationsReadFailed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const MembersRead &event, TimePoint now, FleetActions &actions);
     void handleEvent(const KeepersRead &event, TimePoint now, FleetActions &actions);
     void handleEvent(const KeeperWriteCompleted &event, TimePoint now, FleetActions &actions);
@@ -330,6 +341,7 @@
     TimePoint m_listAsOf = TimePoint::min();
     /// True if the last attempt to read the list of upstreams failed.
     bool m_hasListReadFailed = false;
+    ZoneEvacuations m_evacuations;
 };
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -46,6 +47,24 @@
     TimePoint sentAt{};
 };
 
+/// The operator's requests for the evacuation of availability zones were read.
+struct EvacuationsRead
+{
+    /// Version of the store at which the set was read.
+    std::uint64_t version = 0;
+    /// All zones with a request.
+    std::set<ZoneId> zones;
+    /// When the read was sent. The set includes every request made before this time.
+    TimePoint asOf{};
+};
+
+/// A read of the requests for evacuations failed.
+struct EvacuationsReadFailed
+{
+    /// When the read was sent.
+    TimePoint sentAt{};
+};
+
 /// A read of the table of members ended.
 struct MembersRead
 {
@@ -177,9 +196,10 @@
 
 using FleetEvent =
         std::variant<JobSubmitted, CallerDisconnected, UpstreamListRead, UpstreamListReadFailed,
-                     MembersRead, KeepersRead, KeeperWriteCompleted, StartOrderCompleted,
-                     StopOrderCompleted, RunReportReceived, RunReportFailed, PeerLinkChanged,
-                     PeerCapacityReported, OfferReceived, OfferEnded, OfferWithdrawn,
-                     UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
+                     EvacuationsRead, EvacuationsReadFailed, MembersRead, KeepersRead,
+                     KeeperWriteCompleted, StartOrderCompleted, StopOrderCompleted,
+                     RunReportReceived, RunReportFailed, PeerLinkChanged, PeerCapacityReported,
+                     OfferReceived, OfferEnded, OfferWithdrawn, UpstreamProbed, StopRequested,
+                     ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_options.hpp
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "rattandock/base/ids.hpp"
 #include "rattandock/base/time.hpp"
 #include "rattandock/fleet/lease_times.hpp"
@@ -32,6 +34,9 @@
     /// The platform requires that an upstream gets no new work later than this after it has
     /// announced that it is draining.
     Duration drainLimit = 2000ms;
+    /// No task may be started in a zone later than this after the operator requested its
+    /// evacuation. The age of the requests is not checked if absent.
+    std::optional<Duration> evacuationLimit = std::nullopt;
     /// The answer is sent at least this long before the caller's deadline, so that it arrives in
     /// time.
     Duration answerMargin = 20ms;
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -23,8 +23,7 @@
 
 /// How often a VM writes its row, and at most reads those of others. Two beats make a VM's silence.
 constexpr Duration beatInterval = std::chrono::milliseconds{700};
-/// Wait of a call for changes. A connection that went silent shows after it, and a configuration
-/// must be in force after 2 s.
+/// Wait of a call for changes of keepers. A connection that went silent shows after it.
 constexpr Duration changesWait = std::chrono::milliseconds{2000};
 /// How often it is looked whether the list of upstreams must be read, at most and at least.
 constexpr Duration shortestReadPause = std::chrono::milliseconds{20};
@@ -68,17 +67,24 @@
     m_onMembers = std::move(onMembers);
     spawn([this] { beat(); });
     spawn([this] {
-        follow({m_format.operatorTable, changesWait, Duration{},
+        follow({m_format.operatorTable,
+                [this] { return m_loop.dispatcher().evacuationReadWait(m_loop.now()); }, Duration{},
                 [this] { return m_store.read(m_format.operatorTable, ""); },
-                [this](const auto &rows, bool) { takeConfiguration(rows); }});
+                [this](const StoreRows &rows, bool isWhole, TimePoint sentAt) {
+                    takeConfiguration(rows.rows);
+                    takeEvacuations(rows, isWhole, sentAt);
+                },
+                [this](TimePoint sentAt) { m_loop.post(fleet::EvacuationsReadFailed{sentAt}); }});
     });
     spawn([this] { followUpstreams(); });
     spawn([this] {
         const ZoneId &zone = m_self.zone;
-        follow({keepersTableOf(zone), changesWait, keepersInterval,
+        follow({keepersTableOf(zone), [] { return changesWait; }, keepersInterval,
                 [this, zone] { return m_store.read(keepersTableOf(zone), zone.value()); },
-                [this, zone](const auto &rows, bool isWhole) {
-                    takeKeepers(zone, rows, isWhole);
+                [this, zone](const StoreRows &rows, bool isWhole, TimePoint) {
+                    if (isWhole || !rows.rows.empty()) {
+                        takeKeepers(zone, rows.rows, isWhole);
+                    }
                 }});
     });
     spawn([this] { readForeignKeepers(); });
@@ -138,8 +144,9 @@
     std::uint64_t version = 0;
     bool readsWhole = true;
     while (!m_isStopping) {
+        const TimePoint sentAt = m_loop.now();
         const ports::ReadResult result =
-                readsWhole ? table.readWhole() : m_store.changes(table.name, version, table.wait);
+                readsWhole ? table.readWhole() : m_store.changes(table.name, version, table.wait());
         if (const auto *const failure = std::get_if<StoreFailure>(&result)) {
             if (*failure == StoreFailure::HistoryGone) {
                 log(LogLevel::Info, LogPart::Platform,
@@ -148,15 +155,19 @@
                 continue;
             }
             noteStore(table.name, *failure);
+            table.failed(sentAt);
             pause(retryPause);
             continue;
         }
         noteStore(table.name, std::nullopt);
         const StoreRows &rows = std::get<StoreRows>(result);
-        version = rows.version;
-        if (readsWhole || !rows.rows.empty()) {
-            table.take(rows.rows, readsWhole);
+        if (rows.isPartial) {
+            // A full answer may lack the latest changes.
+            readsWhole = true;
+            continue;
         }
+        version = rows.version;
+        table.take(rows, readsWhole, sentAt);
         readsWhole = false;
         if (table.interval > Duration{}) {
             pause(table.interval);
@@ -359,6 +370,28 @@
     }
 }
 
+void FleetSync::takeEvacuations(const StoreRows &rows, bool isWhole, TimePoint sentAt)
+{
+    if (isWhole) {
+        m_evacuatedZones.clear();
+    }
+    for (const StoreRow &it : rows.rows) {
+        if (!it.part.empty() || !it.key.starts_with(m_format.evacuationKeyPrefix)) {
+            continue;
+        }
+        const ZoneId zone{it.key.substr(m_format.evacuationKeyPrefix.size())};
+        if (zone.value().empty()) {
+            continue;
+        }
+        if (it.isRemoved) {
+            m_evacuatedZones.erase(zone);
+        } else {
+            m_evacuatedZones.insert(zone);
+        }
+    }
+    m_loop.post(fleet::EvacuationsRead{rows.version, m_evacuatedZones, sentAt});
+}
+
 void FleetSync::writeKeepers(const fleet::WriteKeepers &order)
 {
     spawn([this, order] {
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -201,6 +201,7 @@
     m_pausedAt = now;
     m_staleLinks = m_linkedVms;
     m_hasListReadFailed = false;
+    m_evacuations.recordPause(now);
     m_listAsOf = TimePoint::min();
     std::vector<JobNumber> all;
     for (const auto &[number, job] : m_jobs) {
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -330,6 +330,20 @@
     BOOST_TEST(take<StartOrder>().size() >= 1);
 }
 
+// Guards against starting tasks in a zone that the operator has evacuated, and against keeping it
+// empty after the request was withdrawn.
+BOOST_AUTO_TEST_CASE(startsNothingInAnEvacuatedZone)
+{
+    submit(1, job("before", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().size() == 1);
+    send(EvacuationsRead{1, {zone}, now});
+    submit(2, job("during", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().empty());
+    send(EvacuationsRead{2, {}, now});
+    submit(3, job("after", 1, 100ms));
+    BOOST_TEST(take<StartOrder>().size() >= 1);
+}
+
 // Guards against keeping a zone's upstreams for 3 s after the zone's only VM was restarted. The row
 // of the old process was taken for that of the new one until the next scheduled read of the zone.
 BOOST_AUTO_TEST_CASE(readsAnotherZoneAgainWhenAVmThereStartsAnew)
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -293,7 +293,8 @@
 {
     const UpstreamEntry &entry = kept.ledger.entry();
     return !kept.isReleasing && !entry.draining && kept.ledger.takesOrders()
-           && isUpstreamListUsable(now) && m_upstreamWatch.mayStart(entry.id, now);
+           && isUpstreamListUsable(now) && !m_evacuations.isEvacuated(entry.zone)
+           && areEvacuationsUsable(now) && m_upstreamWatch.mayStart(entry.id, now);
 }
 
 bool FleetDispatcher::hasLabel(const UpstreamEntry &entry, const FleetJob &job) const
