Refuse hopeless jobs early where priorities compete

Jobs ended in 502 or 504 although no task had run: a start that the upstream had refused counted as a start, and an offer that came back after the last useful start left no time for a refusal.

Change: where queues of different priority share a service, admission, order and giving up use orderWaitingJobs(). A job whose predicted start is past its last useful start is refused at its arrival (overload) or in the next round (yielded), unless free capacity fits all its tasks. Without usable capacity nothing is predicted. Retry-After is the time in which the work before the job drains, spread by the job's id. Services whose queues have one priority keep the former order and limits. Offered jobs wait in the same order and go back as not run.

A job of which every start was refused is refused itself. Nothing is offered so late that it could come back after the last useful start. A round of dispatch runs only after a job, a run or the capacity has changed, and at the 20 ms housekeeping, and skips upstreams while all are full.

The glue moved to fleet_dispatcher_queue.cpp. The simulated world can now run queues of several priorities and counts jobs that were broken off unstarted.

--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -28,8 +28,11 @@
     Paused,
     /// No upstream had room within the share of the caller's deadline that a job may spend waiting.
     WaitedTooLong,
+    /// The job waited, and jobs with more value per work are predicted to use the capacity until it
+    /// can no longer be served in a useful time.
+    Yielded,
 };
-inline constexpr std::size_t turnAwayReasonCount = 7;
+inline constexpr std::size_t turnAwayReasonCount = 8;
 std::string_view name(TurnAwayReason reason);
 
 /// Why a job was aborted after some of its tasks may have started.
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -11,7 +11,9 @@
 #include "rattandock/fleet/fleet_action.hpp"
 #include "rattandock/fleet/fleet_event.hpp"
 #include "rattandock/fleet/fleet_options.hpp"
+#include "rattandock/fleet/job_order.hpp"
 #include "rattandock/fleet/member_reads.hpp"
+#include "rattandock/fleet/queue_profiles.hpp"
 #include "rattandock/fleet/run_times.hpp"
 #include "rattandock/fleet/sharing.hpp"
 #include "rattandock/fleet/upstream_quarantine.hpp"
@@ -123,6 +125,9 @@
         unsigned overdueStops = 0;
         /// True if a task was started here or may have been started by another VM.
         bool hasStarted = false;
+        /// True if a run of a task has ended here or at another VM. Unlike hasStarted it stays
+        /// unset while all start orders were refused.
+        bool mayHaveRun = false;
         /// Offers of this job's tasks to other VMs that have not ended.
         std::size_t openOffers = 0;
 
@@ -222,10 +227,10 @@
     void requeueTask(Job &job, Task &task, TimePoint notBefore);
     /// Reports overdue runs to the upstream watch and restarts those that can still end in time.
     void handleOverdueRuns(TimePoint now, FleetActions &actions);
-    /// Starts or offers the waiting tasks of all jobs in scheduling order.
-    void dispatch(TimePoint now, FleetActions &actions);
-    /// Starts the waiting tasks of one job that fit on kept upstreams and offers the rest.
-    void dispatchJob(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    /// Starts the waiting tasks of one job that fit on kept upstreams if `canStartHere` is set, and
+    /// offers the rest.
+    void dispatchJob(JobNumber number, Job &job, bool canStartHere, TimePoint now,
+                     FleetActions &actions);
     /// Starts one task on a kept upstream. Returns false if no upstream is suitable.
     bool startOnKeptUpstream(JobNumber number, Job &job, std::size_t index, TimePoint now,
                              FleetActions &actions);
@@ -234,11 +239,6 @@
     std::uint32_t maxUsefulRunTimePercent(const FleetJob &job, Duration left) const;
     /// Offers waiting tasks to other VMs that have reported free room.
     void offerWaitingTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
-    /// Returns the latest time at which the job's tasks can start and still be expected to end in
-    /// time.
-    TimePoint latestStartOf(const Job &job) const;
-    /// Returns the jobs with waiting tasks in scheduling order, at most one round's worth.
-    std::vector<JobNumber> waitingJobsInOrder(TimePoint now) const;
     /// Returns the expected run time of one task on an average upstream.
     Duration expectedRun(const FleetJob &job) const;
     /// Returns the expected run time of one task on the fastest kind of upstream.
@@ -247,8 +247,6 @@
     // Jobs (fleet_dispatcher_jobs.cpp).
     JobNumber addJob(FleetJob spec, Origin origin, std::vector<std::uint32_t> indices,
                      std::uint32_t firstRun, TimePoint now);
-    /// Returns the refusal of an arriving job, or `std::nullopt` if it is admitted.
-    std::optional<JobTurnedAway> checkAdmission(const FleetJob &job, TimePoint now) const;
     void turnAway(CallerRequestId request, const FleetJob &job, const JobTurnedAway &end,
                   FleetActions &actions);
     /// Returns where the unfinished tasks of a job are, as text for the log line of its end.
@@ -261,15 +259,63 @@
                   TimePoint now, FleetActions &actions);
     /// Stops the running tasks of a job and withdraws its offers.
     void stopTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    /// Ends the unfinished job with the same id when the caller submits it again.
+    void replaceJob(const JobId &id, TimePoint now, FleetActions &actions);
+
+    // Queue (fleet_dispatcher_queue.cpp).
+    /// Expected run times relative to a job's estimate.
+    struct RunFactors
+    {
+        double mean = 1;
+        /// On the fastest kind of upstream.
+        double fastest = 1;
+    };
+    RunFactors runFactors() const;
+    /// Starts or offers the waiting tasks of all jobs in scheduling order and refuses hopeless
+    /// jobs. Does nothing unless a job or the capacity has changed.
+    void dispatch(TimePoint now, FleetActions &actions);
+    /// Returns the jobs with waiting tasks in scheduling order, at most one round's worth, and the
+    /// hopeless jobs, which are not in `order`.
+    JobOrder waitingJobsInOrder(TimePoint now) const;
+    /// Orders jobs where no priorities compete: by their latest start, late jobs by their size.
+    std::vector<JobNumber> orderWithoutPriorities(const std::vector<JobNumber> &jobs,
+                                                  TimePoint now) const;
+    /// Returns the largest free CPU of a kept upstream of each service.
+    std::map<ServiceId, std::uint32_t> largestFreeCpu(TimePoint now) const;
+    /// Starts a hopeless job if free capacity fits all its tasks, and refuses it otherwise.
+    void startOrRefuse(const HopelessJob &hopeless, bool canStartHere, TimePoint now,
+                       FleetActions &actions);
+    /// Returns a job of which `waiting` tasks wait, as input of orderWaitingJobs().
+    WaitingJob waitingJobOf(const FleetJob &spec, std::size_t tasks, std::size_t waiting,
+                            TimePoint objective, TimePoint deadline,
+                            const RunFactors &factors) const;
+    WaitingJob waitingJobOf(JobNumber number, const Job &job, const RunFactors &factors) const;
+    /// Sets the rates of the view by its jobs and the service's capacity. The rate is 0 if no
+    /// upstream can run the service now.
+    void setRates(JobOrderView &view, const ServiceId &service, TimePoint now) const;
+    /// Returns the latest time at which the job's tasks can start and still be expected to end in
+    /// time, if no priorities compete.
+    TimePoint latestStartOf(const Job &job, const RunFactors &factors) const;
+    /// Returns until when a caller's new job may wait for its first start.
+    TimePoint firstStartLimitOf(const Job &job, TimePoint now) const;
+    /// Returns true if waiting tasks of the job may be offered to other VMs.
+    bool mayOffer(const Job &job, TimePoint now) const;
+    /// Returns the refusal of an arriving job, or `std::nullopt` if it is admitted.
+    std::optional<JobTurnedAway> checkAdmission(const FleetJob &job, TimePoint now) const;
+    /// Returns the retry-after time if an arriving job is hopeless, by the order of all waiting
+    /// jobs and the new one.
+    std::optional<Duration> refusalByOrder(const FleetJob &job, TimePoint now) const;
+    static Duration retryAfterFor(TurnAwayReason reason, const JobId &id);
     /// Aborts jobs that cannot meet their deadline, that waited too long for their first start, or
     /// that are left at the stop limit.
     void expireJobs(TimePoint now, FleetActions &actions);
-    /// Ends the unfinished job with the same id when the caller submits it again.
-    void replaceJob(const JobId &id, TimePoint now, FleetActions &actions);
+    /// Returns the expected work of `tasks` tasks of the job.
+    CoreWork expectedWork(const FleetJob &job, std::size_t tasks) const;
     /// Returns the work of all waiting tasks that have to start before `before`.
     CoreWork queuedWork(TimePoint before) const;
-    /// Returns how many tasks of the job fit into free room now, here and at other VMs.
-    std::size_t placesFor(const FleetJob &job, TimePoint now) const;
+    /// Returns how many tasks of the job fit into free room now, here and at other VMs, if
+    /// `timeLeft` is left until its deadline.
+    std::size_t placesFor(const FleetJob &job, Duration timeLeft, TimePoint now) const;
     /// Returns the thousandths of a core on which tasks can run, here and at other VMs.
     std::uint64_t usableCpu(TimePoint now) const;
 
@@ -294,6 +340,7 @@
     std::optional<TimePoint> m_pausedAt;
     PeerRoom m_sharedRoom;
     RunTimes m_runTimes;
+    QueueProfiles m_queueProfiles;
     UpstreamQuarantine m_upstreamWatch;
     Jobs m_jobs;
     std::unordered_map<JobId, JobNumber> m_jobsById;
@@ -315,6 +362,11 @@
     /// Set only while dropUpstream() ends the runs of an upstream: the time by which all of them
     /// have stopped there, at the latest.
     std::optional<TimePoint> m_abandonedRunsEndAt;
+    /// True if the order of the waiting jobs is outdated: a job or the capacity has changed since
+    /// the last round of dispatch().
+    bool m_isDispatchDue = true;
+    /// Earliest time at which a requeued task may start, unless the next round comes before.
+    TimePoint m_dispatchAgainAt = TimePoint::max();
     /// True if an input of updateAssignment() has changed since its last run, or if that run left a
     /// claim or release to complete.
     bool m_isAssignmentDue = true;
--- a/src/rattandock/fleet/fleet_action.cpp
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -7,8 +7,8 @@
 std::string_view name(TurnAwayReason reason)
 {
     static constexpr std::array<std::string_view, turnAwayReasonCount> names{
-            "overload", "no-upstreams", "nothing-fits",   "deadline-passed",
-            "stopping", "paused",       "waited-too-long"};
+            "overload", "no-upstreams", "nothing-fits",    "deadline-passed",
+            "stopping", "paused",       "waited-too-long", "yielded"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -9,6 +9,16 @@
 /// Interval of the checks for deadlines, overdue runs and missing upstreams while there are jobs.
 constexpr Duration housekeepingInterval = std::chrono::milliseconds{20};
 
+/// Returns true if the event can add capacity by itself, without a change to a job or a run.
+bool mayChangeCapacity(const FleetEvent &event)
+{
+    return std::holds_alternative<UpstreamListRead>(event)
+           || std::holds_alternative<UpstreamListReadFailed>(event)
+           || std::holds_alternative<RunReportReceived>(event)
+           || std::holds_alternative<PeerLinkChanged>(event)
+           || std::holds_alternative<PeerCapacityReported>(event);
+}
+
 } // namespace
 
 FleetDispatcher::FleetDispatcher(FleetOptions options)
@@ -25,8 +35,10 @@
         m_nextAssignment = now + m_options.assignmentInterval;
     }
     std::visit([&](const auto &it) { handleEvent(it, now, actions); }, event);
+    m_isDispatchDue = m_isDispatchDue || mayChangeCapacity(event);
     if (now >= m_nextHousekeeping) {
         m_nextHousekeeping = now + housekeepingInterval;
+        m_isDispatchDue = true;
         expireJobs(now, actions);
         handleOverdueRuns(now, actions);
         expireUnlisted(now, actions);
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -1,4 +1,4 @@
-// Admission, refusal and end of the jobs of a FleetDispatcher.
+// Arrival and end of the jobs of a FleetDispatcher.
 #include <algorithm>
 
 #include "rattandock/base/overloaded.hpp"
@@ -9,34 +9,9 @@
 
 namespace {
 
-/// Short, as the other VMs take over the work of a stopping VM at once.
-constexpr Duration stoppingRetryAfter = std::chrono::milliseconds{500};
-/// The next read of the list of upstreams may return some.
-constexpr Duration noUpstreamsRetryAfter = std::chrono::seconds{1};
-/// Long, as upstreams of another size are rarely added.
-constexpr Duration nothingFitsRetryAfter = std::chrono::seconds{30};
-constexpr Duration pausedRetryAfter = std::chrono::milliseconds{100};
-/// Time after a pause of this process in which requests that were buffered in the sockets are
-/// read. Their callers may have sent them to another VM meanwhile, so they are refused.
-constexpr Duration pauseBacklogTime = std::chrono::milliseconds{100};
-/// Shortest run time to allow for, relative to the expected one, as estimates may be too high. A
-/// job is refused for its estimate alone only if even such a run would miss the deadline.
-constexpr double minRunTimeFactor = 0.6;
-/// Time from the start of this VM until it has claimed upstreams and received their first reports.
-constexpr Duration startupTime = std::chrono::milliseconds{1000};
-/// A stopping VM accepts jobs on open connections until this long before its stop limit, so that
-/// they can end in time.
-constexpr Duration stoppingReserve = std::chrono::milliseconds{2000};
-
-Duration scaled(Duration time, double factor)
-{
-    return Duration{static_cast<Duration::rep>(static_cast<double>(time.count()) * factor)};
-}
-
-CoreWork workOf(const FleetJob &job, std::size_t tasks, Duration expected)
+std::string retryAfterText(const JobTurnedAway &end)
 {
-    return static_cast<CoreWork>(tasks) * job.need.cpu.value()
-           * static_cast<CoreWork>(expected.count());
+    return ", retry after " + std::to_string(toMilliseconds(end.retryAfter)) + " ms";
 }
 
 FleetLogRecord makeJobEndNote(const JobEnd &end, const FleetJob &job, const std::string &progress)
@@ -51,8 +26,10 @@
                                      return note(FleetLogRecordKind::JobFailed, "attempts");
                                  },
                                  [&](const JobTurnedAway &it) {
-                                     return note(FleetLogRecordKind::JobTurnedAway,
-                                                 name(it.reason));
+                                     FleetLogRecord record = note(FleetLogRecordKind::JobTurnedAway,
+                                                                  name(it.reason));
+                                     record.detail += retryAfterText(it);
+                                     return record;
                                  },
                                  [&](const JobBrokenOff &it) {
                                      return note(FleetLogRecordKind::JobBrokenOff, name(it.reason));
@@ -69,109 +46,17 @@
                       end);
 }
 
-Duration retryAfterFor(TurnAwayReason reason)
-{
-    switch (reason) {
-    case TurnAwayReason::Stopping:
-        return stoppingRetryAfter;
-    case TurnAwayReason::Paused:
-        return pausedRetryAfter;
-    default:
-        return noUpstreamsRetryAfter;
-    }
-}
-
 } // namespace
 
-CoreWork FleetDispatcher::queuedWork(TimePoint before) const
-{
-    CoreWork sum = 0;
-    for (const auto &[number, job] : m_jobs) {
-        const Duration expected = expectedRun(job.spec);
-        if (job.waiting > 0 && job.objective - expected < before) {
-            sum += workOf(job.spec, job.waiting, expected);
-        }
-    }
-    return sum;
-}
-
-std::uint64_t FleetDispatcher::usableCpu(TimePoint now) const
-{
-    std::uint64_t sum = m_sharedRoom.usableCpu();
-    for (const auto &[id, kept] : m_keptUpstreams) {
-        sum += mayPlaceOn(kept, now) ? kept.ledger.entry().capacity.cpu.value() : 0;
-    }
-    return sum;
-}
-
-std::size_t FleetDispatcher::placesFor(const FleetJob &job, TimePoint now) const
-{
-    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job, job.deadline);
-    std::size_t places = m_sharedRoom.countFittingTasks(job.need.cpu, maxPercent);
-    for (const auto &[id, kept] : m_keptUpstreams) {
-        const UpstreamEntry &entry = kept.ledger.entry();
-        const bool isUseful = 100 * m_runTimes.factor(id, upstreamKind(entry)) <= maxPercent;
-        if (entry.service == job.service && isUseful && mayPlaceOn(kept, now)) {
-            places += kept.ledger.freeRoom().cpu.value() / std::max(job.need.cpu.value(), 1U);
-        }
-    }
-    return places;
-}
-
-std::optional<JobTurnedAway> FleetDispatcher::checkAdmission(const FleetJob &job,
-                                                             TimePoint now) const
-{
-    if (m_stopAt && now > *m_stopAt - stoppingReserve) {
-        return JobTurnedAway{TurnAwayReason::Stopping, stoppingRetryAfter};
-    }
-    if (m_pausedAt && now - *m_pausedAt < pauseBacklogTime) {
-        return JobTurnedAway{TurnAwayReason::Paused, pausedRetryAfter};
-    }
-    if (m_jobs.size() >= m_options.maxOpenJobs) {
-        return JobTurnedAway{TurnAwayReason::Overload, noUpstreamsRetryAfter};
-    }
-    bool isServed = false;
-    bool fits = false;
-    for (const auto &[id, listed] : m_listedUpstreams) {
-        if (fits) {
-            break;
-        }
-        const bool serves = listed.entry.service == job.service;
-        isServed = isServed || serves;
-        fits = fits
-               || (serves && listed.entry.capacity.covers(job.need) && hasLabel(listed.entry, job));
-    }
-    if (!isServed) {
-        return JobTurnedAway{TurnAwayReason::NoUpstreams, noUpstreamsRetryAfter};
-    }
-    if (!fits) {
-        return JobTurnedAway{TurnAwayReason::NothingFits, nothingFitsRetryAfter};
-    }
-    const Duration expected = expectedRun(job);
-    AdmissionInputs view;
-    view.usableCpu = usableCpu(now);
-    view.queuedWorkAhead = queuedWork(now + job.objective - expected) + m_sharedRoom.queuedWork();
-    // dispatch() found no use of the room that is free now for any waiting job.
-    view.fitsNow = placesFor(job, now) >= job.taskCount;
-    view.minRunTime = scaled(fastestRun(job), minRunTimeFactor);
-    view.isStarting = !isMembershipSettled(now) || now - *m_startedAt < startupTime;
-    view.jobWork = workOf(job, job.taskCount, expected);
-    view.untilObjective = job.objective;
-    view.untilDeadline = job.deadline - m_options.answerMargin;
-    if (const auto retryAfter = refusalRetryAfter(view)) {
-        const auto reason =
-                view.usableCpu == 0 ? TurnAwayReason::NoUpstreams : TurnAwayReason::Overload;
-        return JobTurnedAway{reason, *retryAfter};
-    }
-    return std::nullopt;
-}
-
 void FleetDispatcher::handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions)
 {
     replaceJob(event.job.id, now, actions);
+    const CoreWork work = expectedWork(event.job, event.job.taskCount);
+    m_queueProfiles.recordArrival(event.job, work, now);
     if (const auto refusal = checkAdmission(event.job, now)) {
         return turnAway(event.request, event.job, *refusal, actions);
     }
+    m_queueProfiles.recordAdmission(event.job, work, now);
     std::vector<std::uint32_t> indices(event.job.taskCount);
     for (std::uint32_t n = 0; n < event.job.taskCount; ++n) {
         indices[n] = n;
@@ -203,18 +88,19 @@
     job.indices = std::move(indices);
     job.objective = now + spec.objective;
     job.deadline = now + spec.deadline - m_options.answerMargin;
-    job.firstStartLimit = firstStartLimit(now, job.deadline);
     job.spec = std::move(spec);
+    job.firstStartLimit = firstStartLimitOf(job, now);
+    m_isDispatchDue = true;
     return number;
 }
 
 void FleetDispatcher::turnAway(CallerRequestId request, const FleetJob &job,
                                const JobTurnedAway &end, FleetActions &actions)
 {
-    actions.emplace_back(FleetLogRecord{
-            FleetLogRecordKind::JobTurnedAway, name(end.reason), job.id,
-            "queue " + job.queue.value() + ", tasks " + std::to_string(job.taskCount)
-                    + ", retry after " + std::to_string(toMilliseconds(end.retryAfter)) + " ms"});
+    actions.emplace_back(FleetLogRecord{FleetLogRecordKind::JobTurnedAway, name(end.reason), job.id,
+                                        "queue " + job.queue.value() + ", tasks "
+                                                + std::to_string(job.taskCount)
+                                                + retryAfterText(end)});
     actions.emplace_back(AnswerJob{request, job.id, end});
 }
 
@@ -230,6 +116,7 @@
     m_jobsById.erase(m_jobs.at(number).spec.id);
     m_jobsByRequest.erase(it);
     m_jobs.erase(number);
+    m_isDispatchDue = true;
 }
 
 void FleetDispatcher::handleEvent(const OfferReceived &event, TimePoint now, FleetActions &actions)
@@ -245,6 +132,7 @@
     const JobNumber number = addJob(offer.job, OfferOrigin{event.from, offer.number}, offer.tasks,
                                     offer.firstRun, now);
     m_jobs.at(number).firstStartLimit = offeredStartLimit(now);
+    m_queueProfiles.recordOffer(offer.job, now);
     m_jobsByOffer[{event.from, offer.number}] = number;
 }
 
@@ -258,6 +146,7 @@
     stopTasks(number, m_jobs.at(number), now, actions);
     m_jobsByOffer.erase(it);
     m_jobs.erase(number);
+    m_isDispatchDue = true;
 }
 
 void FleetDispatcher::handleEvent(const OfferEnded &event, TimePoint now, FleetActions &actions)
@@ -274,7 +163,9 @@
     }
     Job &job = found->second;
     --job.openOffers;
-    job.hasStarted = job.hasStarted || event.end.result != OfferResult::NotRun;
+    job.mayHaveRun = job.mayHaveRun || event.end.result != OfferResult::NotRun;
+    job.hasStarted = job.hasStarted || job.mayHaveRun;
+    m_isDispatchDue = true;
     switch (event.end.result) {
     case OfferResult::Done:
         for (const std::uint32_t index : offer.tasks) {
@@ -374,6 +265,7 @@
         progress += describeUnfinishedTasks(number, job, now);
     }
     stopTasks(number, job, now, actions);
+    m_isDispatchDue = true;
     std::visit(Overloaded{[&](CallerRequestId request) {
                               actions.push_back(makeJobEndNote(end, job.spec, progress));
                               actions.emplace_back(AnswerJob{request, job.spec.id, end});
@@ -403,35 +295,8 @@
     if (!found->second.isUnstarted()) {
         endJob(number, JobBrokenOff{ifStarted}, now, actions);
     } else {
-        endJob(number, JobTurnedAway{ifUnstarted, retryAfterFor(ifUnstarted)}, now, actions);
-    }
-}
-
-void FleetDispatcher::expireJobs(TimePoint now, FleetActions &actions)
-{
-    std::vector<JobNumber> missingDeadline;
-    std::vector<JobNumber> unstarted;
-    for (const auto &[number, job] : m_jobs) {
-        const Duration shortest =
-                job.waiting > 0 ? scaled(fastestRun(job.spec), minRunTimeFactor) : Duration{};
-        if (now + shortest >= job.deadline) {
-            missingDeadline.push_back(number);
-        } else if (job.isUnstarted() && now >= job.firstStartLimit) {
-            unstarted.push_back(number);
-        }
-    }
-    for (const JobNumber it : missingDeadline) {
-        abortJob(it, TurnAwayReason::DeadlinePassed, BreakOffReason::DeadlinePassed, now, actions);
-    }
-    for (const JobNumber it : unstarted) {
-        abortJob(it, TurnAwayReason::WaitedTooLong, BreakOffReason::DeadlinePassed, now, actions);
-    }
-    if (!m_stopAt || now < *m_stopAt) {
-        return;
-    }
-    while (!m_jobs.empty()) {
-        abortJob(m_jobs.begin()->first, TurnAwayReason::Stopping, BreakOffReason::Stopping, now,
-                 actions);
+        const Duration retryAfter = retryAfterFor(ifUnstarted, found->second.spec.id);
+        endJob(number, JobTurnedAway{ifUnstarted, retryAfter}, now, actions);
     }
 }
 
--- /dev/null
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -0,0 +1,454 @@
+// Admission, order and refusal of the waiting jobs of a FleetDispatcher.
+#include <algorithm>
+#include <tuple>
+
+#include "rattandock/fleet/fleet_dispatcher.hpp"
+#include "rattandock/fleet/wait_limit.hpp"
+
+namespace rattandock::fleet {
+
+namespace {
+
+/// Short, as the other VMs take over the work of a stopping VM at once.
+constexpr Duration stoppingRetryAfter = std::chrono::milliseconds{500};
+/// The next read of the list of upstreams may return some.
+constexpr Duration noUpstreamsRetryAfter = std::chrono::seconds{1};
+/// Long, as upstreams of another size are rarely added.
+constexpr Duration nothingFitsRetryAfter = std::chrono::seconds{30};
+constexpr Duration pausedRetryAfter = std::chrono::milliseconds{100};
+/// Time after a pause of this process in which requests that were buffered in the sockets are
+/// read. Their callers may have sent them to another VM meanwhile, so they are refused.
+constexpr Duration pauseBacklogTime = std::chrono::milliseconds{100};
+/// Shortest run time to allow for, relative to the expected one, as estimates may be too high. A
+/// job is refused for its estimate alone only if even such a run would miss the deadline.
+constexpr double minRunTimeFactor = 0.6;
+/// Time from the start of this VM until it has claimed upstreams and received their first reports.
+constexpr Duration startupTime = std::chrono::milliseconds{1000};
+/// A stopping VM accepts jobs on open connections until this long before its stop limit, so that
+/// they can end in time.
+constexpr Duration stoppingReserve = std::chrono::milliseconds{2000};
+/// Safety margin before the caller's deadline, relative to the expected run time, as run times
+/// spread by 40%.
+constexpr double deadlineMarginFactor = 0.4;
+/// A job is nearly done if at most one in this many of its tasks waits for a start.
+constexpr std::size_t nearlyDoneDivisor = 3;
+/// Maximum number of jobs that one call of dispatch() considers, which bounds the time that an
+/// event takes while the queue is long.
+constexpr std::size_t maxJobsPerRound = 100;
+/// Share of the CPU that starts tasks while jobs wait. The rest is lost to fragmentation, as in
+/// admission.
+constexpr double usableCpuShare = 0.85;
+/// Callers value an answer until this multiple of the objective, at a fifth.
+constexpr int usefulObjectives = 3;
+/// Longest time from an offer until another VM has returned it unstarted: its limit of 100 ms, its
+/// check every 20 ms, and the way. Without this reserve, an offer that returns too late would end
+/// in a break-off although nothing has run.
+constexpr Duration offerReturnTime = std::chrono::milliseconds{130};
+
+Duration scaled(Duration time, double factor)
+{
+    return Duration{static_cast<Duration::rep>(static_cast<double>(time.count()) * factor)};
+}
+
+CoreWork workOf(const FleetJob &job, std::size_t tasks, Duration expected)
+{
+    return static_cast<CoreWork>(tasks) * job.need.cpu.value()
+           * static_cast<CoreWork>(expected.count());
+}
+
+CoreWork remainingWorkOf(const std::vector<WaitingJob> &jobs)
+{
+    CoreWork sum = 0;
+    for (const WaitingJob &it : jobs) {
+        sum += it.remainingWork;
+    }
+    return sum;
+}
+
+} // namespace
+
+FleetDispatcher::RunFactors FleetDispatcher::runFactors() const
+{
+    RunFactors factors{m_runTimes.meanFactor(), m_runTimes.fastestFactor()};
+    if (const double others = m_sharedRoom.fastestPercent() / 100.0; others > 0) {
+        factors.fastest = std::min(factors.fastest, others);
+    }
+    return factors;
+}
+
+CoreWork FleetDispatcher::expectedWork(const FleetJob &job, std::size_t tasks) const
+{
+    return workOf(job, tasks, expectedRun(job));
+}
+
+CoreWork FleetDispatcher::queuedWork(TimePoint before) const
+{
+    CoreWork sum = 0;
+    for (const auto &[number, job] : m_jobs) {
+        const Duration expected = expectedRun(job.spec);
+        if (job.waiting > 0 && job.objective - expected < before) {
+            sum += workOf(job.spec, job.waiting, expected);
+        }
+    }
+    return sum;
+}
+
+std::uint64_t FleetDispatcher::usableCpu(TimePoint now) const
+{
+    std::uint64_t sum = m_sharedRoom.usableCpu();
+    for (const auto &[id, kept] : m_keptUpstreams) {
+        sum += mayPlaceOn(kept, now) ? kept.ledger.entry().capacity.cpu.value() : 0;
+    }
+    return sum;
+}
+
+std::size_t FleetDispatcher::placesFor(const FleetJob &job, Duration timeLeft, TimePoint now) const
+{
+    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job, timeLeft);
+    std::size_t places = m_sharedRoom.countFittingTasks(job.need.cpu, maxPercent);
+    for (const auto &[id, kept] : m_keptUpstreams) {
+        const UpstreamEntry &entry = kept.ledger.entry();
+        const bool isUseful = 100 * m_runTimes.factor(id, upstreamKind(entry)) <= maxPercent;
+        if (entry.service == job.service && isUseful && mayPlaceOn(kept, now)) {
+            places += kept.ledger.freeRoom().cpu.value() / std::max(job.need.cpu.value(), 1U);
+        }
+    }
+    return places;
+}
+
+std::map<ServiceId, std::uint32_t> FleetDispatcher::largestFreeCpu(TimePoint now) const
+{
+    std::map<ServiceId, std::uint32_t> largest;
+    for (const auto &[id, kept] : m_keptUpstreams) {
+        if (mayPlaceOn(kept, now)) {
+            std::uint32_t &cpu = largest[kept.ledger.entry().service];
+            cpu = std::max(cpu, kept.ledger.freeRoom().cpu.value());
+        }
+    }
+    return largest;
+}
+
+TimePoint FleetDispatcher::latestStartOf(const Job &job, const RunFactors &factors) const
+{
+    // A long job may still meet its objective but not, with the margin, its caller's deadline.
+    const Duration run = scaled(job.spec.estimate, factors.fastest);
+    return std::min(job.objective, job.deadline - scaled(run, deadlineMarginFactor)) - run;
+}
+
+TimePoint FleetDispatcher::firstStartLimitOf(const Job &job, TimePoint now) const
+{
+    if (!m_queueProfiles.hasSeveralPriorities(job.spec.service, now)) {
+        return firstStartLimit(now, job.deadline);
+    }
+    return job.deadline - scaled(fastestRun(job.spec), minRunTimeFactor);
+}
+
+bool FleetDispatcher::mayOffer(const Job &job, TimePoint now) const
+{
+    if (job.hasStarted) {
+        return true;
+    }
+    // A job past its first start limit is due to be turned away, which an open offer would prevent.
+    const TimePoint latest = job.deadline - scaled(fastestRun(job.spec), minRunTimeFactor);
+    return now < job.firstStartLimit && now + offerReturnTime < latest;
+}
+
+WaitingJob FleetDispatcher::waitingJobOf(const FleetJob &spec, std::size_t tasks,
+                                         std::size_t waiting, TimePoint objective,
+                                         TimePoint deadline, const RunFactors &factors) const
+{
+    const Duration run = scaled(spec.estimate, factors.fastest);
+    WaitingJob job;
+    job.priority = spec.priority;
+    job.protection = jobProtection(spec.id);
+    job.taskWork = workOf(spec, 1, scaled(spec.estimate, factors.mean));
+    job.remainingWork = static_cast<CoreWork>(waiting) * job.taskWork;
+    job.spentWork = static_cast<CoreWork>(tasks - waiting) * job.taskWork;
+    job.queueMeanWork = m_queueProfiles.meanWork(spec.queue);
+    job.arrived = objective - spec.objective;
+    job.latestStart = std::min(objective, deadline) - run;
+    job.latestUsefulStart =
+            std::min(job.arrived + usefulObjectives * spec.objective, deadline) - run;
+    job.latestPossibleStart = deadline - scaled(run, minRunTimeFactor);
+    job.isNearlyDone = waiting * nearlyDoneDivisor <= tasks;
+    return job;
+}
+
+WaitingJob FleetDispatcher::waitingJobOf(JobNumber number, const Job &job,
+                                         const RunFactors &factors) const
+{
+    WaitingJob result = waitingJobOf(job.spec, job.tasks.size(), job.waiting, job.objective,
+                                     job.deadline, factors);
+    result.number = number;
+    result.isStarted = !job.isUnstarted();
+    if (std::holds_alternative<OfferOrigin>(job.origin)) {
+        // An offer states the time that is left, not how late an answer is still useful.
+        result.latestUsefulStart = job.deadline - scaled(job.spec.estimate, factors.fastest);
+    }
+    return result;
+}
+
+void FleetDispatcher::setRates(JobOrderView &view, const ServiceId &service, TimePoint now) const
+{
+    double own = 0;
+    for (const auto &[id, kept] : m_keptUpstreams) {
+        const UpstreamEntry &entry = kept.ledger.entry();
+        own += entry.service == service && mayPlaceOn(kept, now) ? entry.capacity.cpu.value() : 0;
+    }
+    // Other VMs' queues drain from the same capacity: this VM's waiting work gets a share of all
+    // capacity in proportion to it, and its own upstreams at least.
+    const double total = own + static_cast<double>(m_sharedRoom.usableCpu());
+    const CoreWork waiting = std::max(remainingWorkOf(view.jobs), 1.0);
+    const double shared = total * waiting / (waiting + m_sharedRoom.queuedWork());
+    view.rate = usableCpuShare * std::max(own, shared);
+    view.arrivalRate = m_queueProfiles.arrivalRate(service, now);
+}
+
+std::vector<JobNumber> FleetDispatcher::orderWithoutPriorities(const std::vector<JobNumber> &jobs,
+                                                               TimePoint now) const
+{
+    // Order: started jobs (rank 0), jobs that have not started (1), late jobs (2). Ranks 0 and 1
+    // are ordered by the latest start in time. Late jobs are ordered by size, the smallest first,
+    // so that most callers get an answer. A late job that is nearly done stays in rank 0, ordered
+    // by its deadline: it needs little more room, and breaking it off would waste its finished
+    // work.
+    using Rank = std::tuple<int, Duration::rep, std::uint32_t, JobNumber>;
+    std::vector<Rank> order;
+    const RunFactors factors = runFactors();
+    for (const JobNumber number : jobs) {
+        const Job &job = m_jobs.at(number);
+        const TimePoint latestStart = latestStartOf(job, factors);
+        const bool isLate = latestStart < now;
+        const bool isNearlyDone = job.waiting * nearlyDoneDivisor <= job.tasks.size();
+        const bool comesFirst = !job.isUnstarted() && (!isLate || isNearlyDone);
+        const int rank = comesFirst ? 0 : isLate ? 2 : 1;
+        Duration::rep key = latestStart.time_since_epoch().count();
+        if (rank == 2) {
+            key = static_cast<Duration::rep>(job.waiting) * job.spec.need.cpu.value()
+                  * job.spec.estimate.count();
+        } else if (isLate) {
+            key = job.deadline.time_since_epoch().count();
+        }
+        order.emplace_back(rank, key, job.spec.priority, number);
+    }
+    std::ranges::sort(order);
+    std::vector<JobNumber> result;
+    result.reserve(order.size());
+    for (const Rank &it : order) {
+        result.push_back(std::get<JobNumber>(it));
+    }
+    return result;
+}
+
+JobOrder FleetDispatcher::waitingJobsInOrder(TimePoint now) const
+{
+    std::map<ServiceId, std::vector<JobNumber>> jobsByService;
+    for (const auto &[number, job] : m_jobs) {
+        if (job.waiting > 0) {
+            jobsByService[job.spec.service].push_back(number);
+        }
+    }
+    JobOrder result;
+    for (const auto &[service, jobs] : jobsByService) {
+        JobOrder order;
+        JobOrderView view{now, 0, 0, {}};
+        if (m_queueProfiles.hasSeveralPriorities(service, now)) {
+            const RunFactors factors = runFactors();
+            view.jobs.reserve(jobs.size());
+            for (const JobNumber it : jobs) {
+                view.jobs.push_back(waitingJobOf(it, m_jobs.at(it), factors));
+            }
+            setRates(view, service, now);
+        }
+        if (view.rate > 0) {
+            order = orderWaitingJobs(view);
+            order.order.resize(order.order.size() - order.hopeless.size());
+        } else {
+            // Without capacity nothing can be predicted; it may return within a heartbeat.
+            order.order = orderWithoutPriorities(jobs, now);
+        }
+        // Services do not compete for upstreams, so each gets its part of the round.
+        const std::size_t part = std::max<std::size_t>(maxJobsPerRound / jobsByService.size(), 1);
+        const auto append = [&](auto &all, const auto &some) {
+            all.insert(all.end(), some.begin(),
+                       some.begin() + static_cast<std::ptrdiff_t>(std::min(part, some.size())));
+        };
+        append(result.order, order.order);
+        append(result.hopeless, order.hopeless);
+    }
+    return result;
+}
+
+void FleetDispatcher::dispatch(TimePoint now, FleetActions &actions)
+{
+    if (!m_isDispatchDue && now < m_dispatchAgainAt) {
+        return;
+    }
+    m_isDispatchDue = false;
+    m_dispatchAgainAt = TimePoint::max();
+    const JobOrder round = waitingJobsInOrder(now);
+    if (round.order.empty() && round.hopeless.empty()) {
+        return;
+    }
+    // While all upstreams are full, no job needs to be compared with each of them.
+    const std::map<ServiceId, std::uint32_t> largest = largestFreeCpu(now);
+    const auto canStartHere = [&](const Job &job) {
+        const auto it = largest.find(job.spec.service);
+        return it != largest.end() && job.spec.need.cpu.value() <= it->second;
+    };
+    for (const JobNumber number : round.order) {
+        Job &job = m_jobs.at(number);
+        if (!m_endingRuns.contains(job.spec.id.value())) {
+            dispatchJob(number, job, canStartHere(job), now, actions);
+        }
+    }
+    for (const HopelessJob &it : round.hopeless) {
+        startOrRefuse(it, canStartHere(m_jobs.at(it.number)), now, actions);
+    }
+}
+
+void FleetDispatcher::startOrRefuse(const HopelessJob &hopeless, bool canStartHere, TimePoint now,
+                                    FleetActions &actions)
+{
+    Job &job = m_jobs.at(hopeless.number);
+    const bool mayStart = !m_endingRuns.contains(job.spec.id.value());
+    if (mayStart && placesFor(job.spec, job.deadline - now, now) >= job.waiting) {
+        return dispatchJob(hopeless.number, job, canStartHere, now, actions);
+    }
+    endJob(hopeless.number,
+           JobTurnedAway{TurnAwayReason::Yielded,
+                         spreadRetryAfter(hopeless.drainTime, job.spec.id)},
+           now, actions);
+}
+
+std::optional<Duration> FleetDispatcher::refusalByOrder(const FleetJob &job, TimePoint now) const
+{
+    JobOrderView view{now, 0, 0, {}};
+    const RunFactors factors = runFactors();
+    for (const auto &[number, waiting] : m_jobs) {
+        if (waiting.waiting > 0 && waiting.spec.service == job.service) {
+            view.jobs.push_back(waitingJobOf(number, waiting, factors));
+        }
+    }
+    const JobNumber number{m_nextJob};
+    view.jobs.push_back(waitingJobOf(job, job.taskCount, job.taskCount, now + job.objective,
+                                     now + job.deadline - m_options.answerMargin, factors));
+    view.jobs.back().number = number;
+    setRates(view, job.service, now);
+    if (view.rate <= 0) {
+        return std::nullopt;
+    }
+    const JobOrder order = orderWaitingJobs(view);
+    const auto it = std::ranges::find(order.hopeless, number, &HopelessJob::number);
+    if (it == order.hopeless.end()) {
+        return std::nullopt;
+    }
+    return it->drainTime;
+}
+
+std::optional<JobTurnedAway> FleetDispatcher::checkAdmission(const FleetJob &job,
+                                                             TimePoint now) const
+{
+    const auto refusal = [&](TurnAwayReason reason) {
+        return JobTurnedAway{reason, retryAfterFor(reason, job.id)};
+    };
+    if (m_stopAt && now > *m_stopAt - stoppingReserve) {
+        return refusal(TurnAwayReason::Stopping);
+    }
+    if (m_pausedAt && now - *m_pausedAt < pauseBacklogTime) {
+        return refusal(TurnAwayReason::Paused);
+    }
+    if (m_jobs.size() >= m_options.maxOpenJobs) {
+        return refusal(TurnAwayReason::Overload);
+    }
+    bool isServed = false;
+    bool fits = false;
+    for (const auto &[id, listed] : m_listedUpstreams) {
+        if (fits) {
+            break;
+        }
+        const bool serves = listed.entry.service == job.service;
+        isServed = isServed || serves;
+        fits = fits
+               || (serves && listed.entry.capacity.covers(job.need) && hasLabel(listed.entry, job));
+    }
+    if (!isServed) {
+        return refusal(TurnAwayReason::NoUpstreams);
+    }
+    if (!fits) {
+        return refusal(TurnAwayReason::NothingFits);
+    }
+    const Duration expected = expectedRun(job);
+    AdmissionInputs view;
+    view.usableCpu = usableCpu(now);
+    // dispatch() found no use of the room that is free now for any waiting job.
+    view.fitsNow = placesFor(job, job.deadline, now) >= job.taskCount;
+    view.minRunTime = scaled(fastestRun(job), minRunTimeFactor);
+    view.isStarting = !isMembershipSettled(now) || now - *m_startedAt < startupTime;
+    view.untilObjective = job.objective;
+    view.untilDeadline = job.deadline - m_options.answerMargin;
+    const CoreWork queued = queuedWork(TimePoint::max()) + m_sharedRoom.queuedWork();
+    const bool usesOrder = queued > 0 && m_queueProfiles.hasSeveralPriorities(job.service, now);
+    if (!usesOrder) {
+        view.jobWork = workOf(job, job.taskCount, expected);
+        view.queuedWorkAhead =
+                queuedWork(now + job.objective - expected) + m_sharedRoom.queuedWork();
+    }
+    auto drainTime = refusalRetryAfter(view);
+    if (!drainTime && usesOrder && !view.fitsNow) {
+        drainTime = refusalByOrder(job, now);
+    }
+    if (drainTime) {
+        const auto reason =
+                view.usableCpu == 0 ? TurnAwayReason::NoUpstreams : TurnAwayReason::Overload;
+        return JobTurnedAway{reason, spreadRetryAfter(*drainTime, job.id)};
+    }
+    return std::nullopt;
+}
+
+Duration FleetDispatcher::retryAfterFor(TurnAwayReason reason, const JobId &id)
+{
+    switch (reason) {
+    case TurnAwayReason::Stopping:
+        return stoppingRetryAfter;
+    case TurnAwayReason::Paused:
+        return pausedRetryAfter;
+    case TurnAwayReason::NothingFits:
+        return nothingFitsRetryAfter;
+    default:
+        return spreadRetryAfter(noUpstreamsRetryAfter, id);
+    }
+}
+
+void FleetDispatcher::expireJobs(TimePoint now, FleetActions &actions)
+{
+    std::vector<JobNumber> missingDeadline;
+    std::vector<JobNumber> unstarted;
+    const RunFactors factors = runFactors();
+    for (const auto &[number, job] : m_jobs) {
+        const Duration shortest =
+                job.waiting > 0
+                        ? scaled(scaled(job.spec.estimate, factors.fastest), minRunTimeFactor)
+                        : Duration{};
+        if (now + shortest >= job.deadline) {
+            missingDeadline.push_back(number);
+        } else if (job.isUnstarted() && now >= job.firstStartLimit) {
+            unstarted.push_back(number);
+        }
+    }
+    for (const JobNumber it : missingDeadline) {
+        abortJob(it, TurnAwayReason::DeadlinePassed, BreakOffReason::DeadlinePassed, now, actions);
+    }
+    for (const JobNumber it : unstarted) {
+        abortJob(it, TurnAwayReason::WaitedTooLong, BreakOffReason::DeadlinePassed, now, actions);
+    }
+    if (!m_stopAt || now < *m_stopAt) {
+        return;
+    }
+    while (!m_jobs.empty()) {
+        abortJob(m_jobs.begin()->first, TurnAwayReason::Stopping, BreakOffReason::Stopping, now,
+                 actions);
+    }
+}
+
+} // namespace rattandock::fleet
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <array>
 #include <limits>
-#include <tuple>
 
 #include "rattandock/fleet/fleet_dispatcher.hpp"
 #include "rattandock/fleet/overdue.hpp"
@@ -14,14 +13,6 @@
 
 /// Factor on the expected run time away from the rack with the data. The platform states 1.5 to 3.
 constexpr double remoteDataFactor = 2.0;
-/// Safety margin before the caller's deadline, relative to the expected run time, as run times
-/// spread by 40%.
-constexpr double deadlineMarginFactor = 0.4;
-/// A job is nearly done if at most one in this many of its tasks waits for a start.
-constexpr std::size_t nearlyDoneDivisor = 3;
-/// Maximum number of jobs that one call of dispatch() considers, which bounds the time that an
-/// event takes while the queue is long.
-constexpr std::size_t maxJobsPerRound = 100;
 
 Duration scaled(Duration time, double factor)
 {
@@ -48,70 +39,18 @@
     return scaled(job.estimate, others > 0 ? std::min(own, others) : own);
 }
 
-TimePoint FleetDispatcher::latestStartOf(const Job &job) const
+void FleetDispatcher::dispatchJob(JobNumber number, Job &job, bool canStartHere, TimePoint now,
+                                  FleetActions &actions)
 {
-    // A long job may still meet its objective but not, with the margin, its caller's deadline.
-    const Duration run = fastestRun(job.spec);
-    return std::min(job.objective, job.deadline - scaled(run, deadlineMarginFactor)) - run;
-}
-
-std::vector<JobNumber> FleetDispatcher::waitingJobsInOrder(TimePoint now) const
-{
-    // Order: started jobs (rank 0), jobs that have not started (1), late jobs (2). Ranks 0 and 1
-    // are ordered by the latest start in time. Late jobs are ordered by size, the smallest first,
-    // so that most callers get an answer. A late job that is nearly done stays in rank 0, ordered
-    // by its deadline: it needs little more room, and breaking it off would waste its finished
-    // work.
-    using Rank = std::tuple<int, Duration::rep, std::uint32_t, JobNumber>;
-    std::vector<Rank> order;
-    for (const auto &[number, job] : m_jobs) {
-        if (job.waiting == 0) {
-            continue;
-        }
-        const TimePoint latestStart = latestStartOf(job);
-        const bool isLate = latestStart < now;
-        const bool isNearlyDone = job.waiting * nearlyDoneDivisor <= job.tasks.size();
-        const bool comesFirst = !job.isUnstarted() && (!isLate || isNearlyDone);
-        const int rank = comesFirst ? 0 : isLate ? 2 : 1;
-        Duration::rep key = latestStart.time_since_epoch().count();
-        if (rank == 2) {
-            key = static_cast<Duration::rep>(job.waiting) * job.spec.need.cpu.value()
-                  * job.spec.estimate.count();
-        } else if (isLate) {
-            key = job.deadline.time_since_epoch().count();
-        }
-        order.emplace_back(rank, key, job.spec.priority, number);
-    }
-    std::ranges::sort(order);
-    std::vector<JobNumber> result;
-    for (std::size_t n = 0; n < std::min(order.size(), maxJobsPerRound); ++n) {
-        result.push_back(std::get<JobNumber>(order[n]));
-    }
-    return result;
-}
-
-void FleetDispatcher::dispatch(TimePoint now, FleetActions &actions)
-{
-    for (const JobNumber number : waitingJobsInOrder(now)) {
-        Job &job = m_jobs.at(number);
-        if (!m_endingRuns.contains(job.spec.id.value())) {
-            dispatchJob(number, job, now, actions);
-        }
-    }
-}
-
-void FleetDispatcher::dispatchJob(JobNumber number, Job &job, TimePoint now, FleetActions &actions)
-{
-    for (std::size_t n = 0; n < job.tasks.size(); ++n) {
+    for (std::size_t n = 0; canStartHere && n < job.tasks.size(); ++n) {
         const Task &task = job.tasks[n];
         if (task.state == TaskState::Waiting && task.notBefore <= now
             && !startOnKeptUpstream(number, job, n, now, actions)) {
             break;
         }
     }
-    // A job past its first start limit is due to be turned away, which an open offer would prevent.
-    const bool mayOffer = job.hasStarted || now < job.firstStartLimit;
-    if (job.waiting > 0 && mayOffer && std::holds_alternative<CallerRequestId>(job.origin)) {
+    if (job.waiting > 0 && mayOffer(job, now)
+        && std::holds_alternative<CallerRequestId>(job.origin)) {
         offerWaitingTasks(number, job, now, actions);
     }
 }
@@ -229,6 +168,7 @@
     task.state = TaskState::Waiting;
     task.notBefore = notBefore;
     ++job.waiting;
+    m_dispatchAgainAt = std::min(m_dispatchAgainAt, notBefore);
 }
 
 void FleetDispatcher::completeTask(JobNumber number, Job &job, Task &task, FleetActions &actions)
@@ -242,6 +182,7 @@
 void FleetDispatcher::handleRunEnd(const UpstreamId &upstream, const RunEnded &over, TimePoint now,
                                    FleetActions &actions)
 {
+    m_isDispatchDue = true;
     const auto kept = m_keptUpstreams.find(upstream);
     if (kept != m_keptUpstreams.end() && over.kind == RunEndKind::Done) {
         kept->second.lastSuccess = now;
@@ -261,6 +202,7 @@
         return;
     }
     Job &job = found->second;
+    job.mayHaveRun = true;
     Task &task = job.tasks[over.task.task.value()];
     if (task.state != TaskState::Running) {
         return;
@@ -303,6 +245,7 @@
 void FleetDispatcher::handleRunNotStarted(const UpstreamId &upstream, const RunNeverStarted &run,
                                           TimePoint now, FleetActions &actions)
 {
+    m_isDispatchDue = true;
     const JobNumber number = run.task.job;
     m_upstreamWatch.endedInconclusively(upstream);
     const auto found = m_jobs.find(number);
@@ -334,6 +277,12 @@
     // Prevents a busy loop of starts on an upstream that refuses each of them at once.
     constexpr Duration refusedStartDelay = std::chrono::milliseconds{5};
     requeueTask(job, task, now + refusedStartDelay);
+    // This run was not started, but after OldRun another one of the task was. If no task of the job
+    // has run, it may still be refused.
+    job.mayHaveRun = job.mayHaveRun || run.reason == OrderResult::OldRun;
+    job.hasStarted = job.mayHaveRun || std::ranges::any_of(job.tasks, [](const Task &it) {
+                         return it.state == TaskState::Running || it.state == TaskState::Done;
+                     });
 }
 
 void FleetDispatcher::handleOverdueRuns(TimePoint now, FleetActions &actions)
--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -127,6 +127,28 @@
     BOOST_TEST(totals.completed > 0);
 }
 
+// Guards against the same where queues of different priority compete, so that waiting jobs are
+// refused early, and against breaking off jobs of which no task has run.
+BOOST_AUTO_TEST_CASE(keepsPromisesWhilePrioritiesCompete)
+{
+    const WorldFaults overload{.arrivalInterval = std::chrono::milliseconds{30}, .queues = 3};
+    std::size_t turnedAway = 0;
+    std::size_t brokenOffUnstarted = 0;
+    for (std::uint64_t seed = 8000; seed < 8030; ++seed) {
+        FleetWorld world{seed, overload};
+        world.run(12s);
+        BOOST_TEST(world.violations().empty());
+        turnedAway += world.turnedAway();
+        brokenOffUnstarted += world.brokenOffUnstarted();
+    }
+    BOOST_TEST(turnedAway > 1000);
+    BOOST_TEST(brokenOffUnstarted == 0);
+    WorldFaults faults = allFaults;
+    faults.queues = 3;
+    const Totals totals = runSchedules(faults, 9000, 200, std::chrono::seconds{12});
+    BOOST_TEST(totals.completed > 0);
+}
+
 // Guards against the same while VMs are killed or frozen, upstreams crash, connections are
 // interrupted and the store is unavailable.
 BOOST_AUTO_TEST_CASE(keepsPromisesWhileEverythingFails)
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -359,7 +359,8 @@
     const std::size_t caller = m_callers.size();
     Caller &it = m_callers.emplace_back();
     it.job.id = JobId{std::string{"job-"} + std::to_string(caller)};
-    it.job.queue = QueueId{"q"};
+    it.job.priority = static_cast<std::uint32_t>(caller % m_faults.queues);
+    it.job.queue = QueueId{std::string{"q"} + std::to_string(it.job.priority)};
     it.job.service = ServiceId{"s"};
     it.job.taskCount =
             1 + static_cast<std::uint32_t>(drawDuration(Duration{0}, Duration{5}).count());
@@ -434,6 +435,8 @@
                           },
                           [&](const JobBrokenOff &) {
                               ++m_brokenOff;
+                              m_brokenOffUnstarted +=
+                                      m_startedJobs.contains(it.job.id.value()) ? 0 : 1;
                               handleConnectionLoss(caller);
                           }},
                end);
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -54,6 +54,8 @@
     double runFailure = 0.002;
     /// Share of runs that never end.
     double runHang = 0;
+    /// Number of queues, each with its own priority.
+    std::size_t queues = 1;
 };
 
 /// Simulates a fleet of three VMs with real dispatchers, six upstreams, a store and callers that
@@ -76,6 +78,8 @@
     std::size_t completed() const { return m_completed; }
     std::size_t turnedAway() const { return m_turnedAway; }
     std::size_t brokenOff() const { return m_brokenOff; }
+    /// Returns the number of jobs that were broken off although no upstream has started a task.
+    std::size_t brokenOffUnstarted() const { return m_brokenOffUnstarted; }
     std::size_t starts() const { return m_starts; }
     std::size_t faultsInjected() const { return m_faultsInjected; }
 
@@ -228,6 +232,9 @@
     std::size_t m_completed = 0;
     std::size_t m_turnedAway = 0;
     std::size_t m_brokenOff = 0;
+    std::size_t m_brokenOffUnstarted = 0;
+    /// Jobs of which an upstream has started a task.
+    std::set<std::string> m_startedJobs;
     std::size_t m_starts = 0;
     std::size_t m_faultsInjected = 0;
 };
--- a/src/rattandock/fleet/fleet_world_upstreams_test.cpp
+++ b/src/rattandock/fleet/fleet_world_upstreams_test.cpp
@@ -94,6 +94,7 @@
     }
     ++m_starts;
     const std::string &job = order.name.job;
+    m_startedJobs.insert(job);
     if (m_refusedJobs.contains(job)) {
         reportViolation("a task of the refused job " + job + " starts");
     }
