Bound the record of ended jobs and hold resubmitted jobs until former runs are over

FleetDispatcher::m_endedJobs kept an entry for each job that ended while its tasks ran, for as long as the process ran. Three cases also let a resubmitted job start while a former run could still execute: the upstream of a stopped run was lost and its lease not yet over, the former job waited for such a lease, or an offer was withdrawn without a confirmation.

EndingRuns replaces both maps. An entry goes with the last end of a run; runs on a lost upstream and withdrawn offers hold the id until their lease is over, so nothing is held for ever.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "rattandock/fleet/admission.hpp"
+#include "rattandock/fleet/ending_runs.hpp"
 #include "rattandock/fleet/fleet_action.hpp"
 #include "rattandock/fleet/fleet_event.hpp"
 #include "rattandock/fleet/fleet_options.hpp"
@@ -28,6 +29,8 @@
     std::size_t runs = 0;
     std::size_t linkedVms = 0;
     bool stopping = false;
+    /// Ids of ended jobs of which a run may still execute.
+    std::size_t endingJobs = 0;
 };
 
 /// Schedules jobs on one VM of a fleet whose upstreams are divided among the VMs through rows in
@@ -266,6 +269,12 @@
     void expireJobs(TimePoint now, FleetActions &actions);
     /// Ends the unfinished job with the same id when the caller submits it again.
     void replaceJob(const JobId &id, TimePoint now, FleetActions &actions);
+    /// Returns the time from the loss of another VM until none of the tasks that were offered to it
+    /// can execute.
+    Duration runsEndAfterLoss() const
+    {
+        return m_options.lease.runsEndAfter(m_options.peerSilence);
+    }
     /// Returns the work of all waiting tasks that have to start before `before`.
     CoreWork queuedWork(TimePoint before) const;
     /// Returns how many tasks of the job fit into free room now, here and at other VMs.
@@ -299,11 +308,7 @@
     std::unordered_map<JobId, JobNumber> m_jobsById;
     std::unordered_map<CallerRequestId, JobNumber> m_jobsByRequest;
     std::map<std::pair<VmId, std::uint64_t>, JobNumber> m_jobsByOffer;
-    /// Number of runs, by job id, that still execute although their job has ended. A resubmitted
-    /// job starts no task until they are over.
-    std::unordered_map<std::string, std::size_t> m_endingRuns;
-    /// Job ids of the ended jobs that m_endingRuns counts.
-    std::unordered_map<JobNumber, std::string> m_endedJobs;
+    EndingRuns m_endingRuns;
     std::map<std::uint64_t, Offer> m_offers;
     std::uint64_t m_nextJob = 1;
     std::uint64_t m_nextOffer = 1;
--- a/include/rattandock/fleet/fleet_options.hpp
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -15,6 +15,8 @@
     Incarnation incarnation;
     ZoneId zone;
     LeaseTimes lease;
+    /// Silence after which the link to another VM counts as lost.
+    Duration peerSilence = 600ms;
     /// A VM without a link is considered failed, and its upstreams are taken over, when its row has
     /// not changed for this long. Equals two heartbeat intervals of the rows.
     Duration memberTimeout = 1400ms;
--- a/include/rattandock/fleet/lease_times.hpp
+++ b/include/rattandock/fleet/lease_times.hpp
@@ -37,6 +37,21 @@
     /// Time after which a stop order is sent again if the upstream still reports the run as
     /// active.
     Duration stopRetryInterval = 200ms;
+
+    /// Returns the time from the end of a lease as granted until it counts as expired.
+    Duration expiryDelay() const
+    {
+        return Duration{static_cast<Duration::rep>(static_cast<double>(lease.count())
+                                                   * maxClockDrift)}
+               + expiryMargin;
+    }
+    /// Returns the time from the failure of a VM, or of the link to it, until no run that depends
+    /// on it can execute: its silence is detected after `peerSilence`, and leases that were renewed
+    /// until then expire.
+    Duration runsEndAfter(Duration peerSilence) const
+    {
+        return peerSilence + lease + expiryDelay();
+    }
 };
 
 } // namespace rattandock::fleet
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -47,6 +47,7 @@
     options.incarnation = incarnation;
     options.stopLimit = settings.fleet->stopLimit;
     options.drainLimit = settings.fleet->upstreamDrainLimit;
+    options.peerSilence = settings.fleet->peerSilence;
     return options;
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -30,6 +30,7 @@
         expireJobs(now, actions);
         handleOverdueRuns(now, actions);
         expireUnlisted(now, actions);
+        m_endingRuns.expire(now);
     }
     stepLedgers(now, actions);
     dispatch(now, actions);
@@ -60,8 +61,8 @@
 
 FleetStatus FleetDispatcher::status() const
 {
-    FleetStatus status{m_keptUpstreams.size(), m_listedUpstreams.size(), m_jobs.size(), 0, 0,
-                       m_linkedVms.size(),     m_stopAt.has_value()};
+    FleetStatus status{m_keptUpstreams.size(), m_listedUpstreams.size(), m_jobs.size(),      0, 0,
+                       m_linkedVms.size(),     m_stopAt.has_value(),     m_endingRuns.size()};
     for (const auto &[number, job] : m_jobs) {
         status.waitingTasks += job.waiting;
     }
@@ -146,6 +147,7 @@
         if (it.second.vm == event.vm) {
             jobsOfferedToPeer.push_back(it.second.job);
             if (const auto job = m_jobs.find(it.second.job); job != m_jobs.end()) {
+                m_endingRuns.holdUntil(job->second.spec.id, now + runsEndAfterLoss());
                 actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "link-down",
                                                     job->second.spec.id, event.vm.value()});
             }
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -308,6 +308,10 @@
     LedgerOutputs outputs;
     for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
         const Task &task = job.tasks[n];
+        if (task.state == TaskState::Waiting && task.notBefore > now) {
+            // The run that ended last may still execute on an upstream that this VM has lost.
+            m_endingRuns.holdUntil(job.spec.id, task.notBefore);
+        }
         if (task.state != TaskState::Running) {
             continue;
         }
@@ -322,14 +326,15 @@
         }
     }
     if (running > 0) {
-        m_endingRuns[job.spec.id.value()] += running;
-        m_endedJobs[number] = job.spec.id.value();
+        m_endingRuns.add(number, job.spec.id, running);
     }
     std::erase_if(m_offers, [&](const auto &it) {
         if (it.second.job != number) {
             return false;
         }
         actions.emplace_back(SendToVm{it.second.vm, TaskOfferWithdrawn{it.first}});
+        // The other VM does not confirm the withdrawal, which may be lost with the link.
+        m_endingRuns.holdUntil(job.spec.id, now + runsEndAfterLoss());
         return true;
     });
 }
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -94,7 +94,7 @@
 {
     for (const JobNumber number : waitingJobsInOrder(now)) {
         Job &job = m_jobs.at(number);
-        if (!m_endingRuns.contains(job.spec.id.value())) {
+        if (!m_endingRuns.mayExecute(job.spec.id, now)) {
             dispatchJob(number, job, now, actions);
         }
     }
@@ -249,10 +249,7 @@
     const JobNumber number = over.task.job;
     const auto found = m_jobs.find(number);
     if (found == m_jobs.end()) {
-        const auto ended = m_endedJobs.find(number);
-        if (ended != m_endedJobs.end() && --m_endingRuns[ended->second] == 0) {
-            m_endingRuns.erase(ended->second);
-        }
+        m_endingRuns.runEnded(number, m_abandonedRunsEndAt.value_or(now));
         if (over.kind == RunEndKind::Done) {
             m_upstreamWatch.succeeded(upstream);
         } else if (over.kind != RunEndKind::Failed) {
@@ -307,10 +304,7 @@
     m_upstreamWatch.endedInconclusively(upstream);
     const auto found = m_jobs.find(number);
     if (found == m_jobs.end()) {
-        const auto ended = m_endedJobs.find(number);
-        if (ended != m_endedJobs.end() && --m_endingRuns[ended->second] == 0) {
-            m_endingRuns.erase(ended->second);
-        }
+        m_endingRuns.runEnded(number, now);
         return;
     }
     Job &job = found->second;
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -58,11 +58,13 @@
         FleetActions actions;
         dispatcher.handle(event, now, actions);
         for (FleetAction &it : actions) {
-            if (auto *const look = std::get_if<PollOrder>(&it)) {
+            if (auto *const look = std::get_if<PollOrder>(&it); look == nullptr) {
+                recordedActions.push_back(std::move(it));
+            } else if (look->upstream == upstream) {
                 lastLookNumber = look->number;
                 isLookPending = true;
             } else {
-                recordedActions.push_back(std::move(it));
+                otherLooks[look->upstream] = look->number;
             }
         }
     }
@@ -83,6 +85,9 @@
                 report.active = active;
                 answerLook(report);
             }
+            for (const auto &[id, number] : std::exchange(otherLooks, {})) {
+                answerOtherLook(id, number);
+            }
             if (canReadUpstreamList) {
                 send(UpstreamListRead{{}, {}, false, now});
             }
@@ -107,11 +112,52 @@
     void confirmStarts()
     {
         for (const StartOrder &it : take<StartOrder>()) {
-            active.push_back({it.name, it.number});
-            send(StartOrderCompleted{upstream, it.name, it.number, OrderResult::Done,
+            (it.upstream == upstream ? active : otherActive[it.upstream])
+                    .push_back({it.name, it.number});
+            send(StartOrderCompleted{it.upstream, it.name, it.number, OrderResult::Done,
                                      std::nullopt});
         }
     }
+    /// Reports that all runs on the first upstream have ended.
+    void endActiveRuns(RunEndKind kind)
+    {
+        RunReport report;
+        for (const ActiveRun &it : active) {
+            report.ended.push_back({EndNumber{++lastEnd}, it.name, it.number, kind});
+        }
+        active.clear();
+        for (int n = 0; n < 100 && !isLookPending; ++n) {
+            now += 5ms;
+            send(TimerDue{});
+        }
+        answerLook(report);
+    }
+    void keepUpstream(const std::string &id)
+    {
+        UpstreamEntry other = entry();
+        other.id = UpstreamId{id};
+        send(UpstreamListRead{{other}, {}, false, now});
+        send(KeepersRead{{KeeperRow{other.id, zone, self, incarnation, 1, ++keeperVersion}}});
+        answerOtherLook(other.id, PollNumber{1});
+    }
+    void answerOtherLook(const UpstreamId &id, PollNumber number)
+    {
+        RunReport report;
+        report.clock = UpstreamTime{now.time_since_epoch()};
+        report.processStart = UpstreamProcessStart{1};
+        report.active = otherActive[id];
+        send(RunReportReceived{id, number, report});
+    }
+    void keepSecondUpstream() { keepUpstream("second"); }
+    void keepThirdUpstream() { keepUpstream("third"); }
+    /// Another VM takes over all upstreams but the third.
+    void loseUpstreams()
+    {
+        for (const char *const id : {"u", "second"}) {
+            send(KeepersRead{{KeeperRow{UpstreamId{id}, zone, VmId{"b"}, Incarnation{9}, 2,
+                                        ++keeperVersion}}});
+        }
+    }
     void submit(std::uint64_t request, const FleetJob &job)
     {
         send(JobSubmitted{CallerRequestId{request}, job});
@@ -129,6 +175,11 @@
     std::vector<ActiveRun> active;
     PollNumber lastLookNumber;
     bool isLookPending = false;
+    /// Open polls and active runs of upstreams other than `upstream`.
+    std::map<UpstreamId, PollNumber> otherLooks;
+    std::map<UpstreamId, std::vector<ActiveRun>> otherActive;
+    std::uint64_t lastEnd = 0;
+    std::uint64_t keeperVersion = 1;
 };
 
 } // namespace
@@ -343,4 +394,93 @@
     BOOST_TEST(!dispatcher.memberLinks().linkedZones.contains(far.zone));
 }
 
+// Guards against a record of each ended job that is kept for as long as the process runs.
+BOOST_AUTO_TEST_CASE(forgetsAnEndedJobOnceItsRunsHaveEnded)
+{
+    for (std::uint64_t n = 1; n <= 20; ++n) {
+        submit(n, job("job-" + std::to_string(n), 2, 300ms));
+        confirmStarts();
+        BOOST_REQUIRE(active.size() == 2);
+        send(CallerDisconnected{CallerRequestId{n}});
+        BOOST_TEST(dispatcher.status().endingJobs == 1);
+        endActiveRuns(RunEndKind::Stopped);
+        pass(30ms);
+        BOOST_TEST(dispatcher.status().endingJobs == 0);
+    }
+}
+
+// Guards against two simultaneous runs of a task: its former run still executes until its lease
+// expires on an upstream that this VM has lost, and the job is submitted again.
+BOOST_AUTO_TEST_CASE(startsAResubmittedJobOnlyAfterTheLeaseOfALostUpstream)
+{
+    keepSecondUpstream();
+    // Two tasks fit on each upstream.
+    submit(1, job("one", 3, 300ms));
+    confirmStarts();
+    BOOST_REQUIRE(active.size() + otherActive[UpstreamId{"second"}].size() == 3);
+    send(CallerDisconnected{CallerRequestId{1}});
+    const TimePoint lost = now;
+    loseUpstreams();
+    keepThirdUpstream();
+    submit(2, job("one", 1, 300ms));
+    submit(3, job("other", 1, 300ms));
+    // The new upstream takes work, but not this job yet.
+    const auto starts = take<StartOrder>();
+    BOOST_REQUIRE(starts.size() == 1);
+    BOOST_TEST(starts[0].name.job == "other");
+    while (now < lost + 600ms) {
+        pass(5ms);
+        BOOST_TEST(take<StartOrder>().empty());
+    }
+    // The job must not be held back for longer than the lease.
+    pass(80ms);
+    BOOST_TEST(take<StartOrder>().size() == 1);
+    pass(100ms);
+    BOOST_TEST(dispatcher.status().endingJobs == 0);
+}
+
+// Guards against the same when the job ends between the loss of the upstream and the end of the
+// lease, while its task waits to be started again.
+BOOST_AUTO_TEST_CASE(startsAResubmittedJobOnlyAfterTheLeaseIfTheFormerOneWaitedForIt)
+{
+    submit(1, job("one", 1, 300ms));
+    confirmStarts();
+    const TimePoint lost = now;
+    loseUpstreams();
+    keepThirdUpstream();
+    BOOST_TEST(take<StartOrder>().empty());
+    send(CallerDisconnected{CallerRequestId{1}});
+    submit(2, job("one", 1, 300ms));
+    while (now < lost + 600ms) {
+        BOOST_TEST(take<StartOrder>().empty());
+        pass(5ms);
+    }
+    pass(80ms);
+    BOOST_TEST(take<StartOrder>().size() == 1);
+}
+
+// Guards against two simultaneous runs of a task that was offered to another VM: the withdrawal
+// may be lost with the link, and the other VM then stops the task only after the silence limit.
+BOOST_AUTO_TEST_CASE(startsAReplacedJobOnlyAfterItsWithdrawnOffersAreOver)
+{
+    submit(1, job("own", 2, 100ms));
+    confirmStarts();
+    send(PeerLinkChanged{VmId{"b"}, true});
+    send(PeerCapacityReported{VmId{"b"}, zone, false, {{{64'000, 100}}, 100, 64'000, 0}});
+    FleetJob replaced = job("one", 1, 100ms);
+    replaced.deadline = 6s;
+    replaced.objective = 5s;
+    submit(2, replaced);
+    BOOST_REQUIRE(take<SendToVm>().size() == 1);
+    endActiveRuns(RunEndKind::Done);
+    const TimePoint resubmitted = now;
+    submit(3, replaced);
+    while (now < resubmitted + 1200ms) {
+        BOOST_TEST(take<StartOrder>().empty());
+        pass(5ms);
+    }
+    pass(80ms);
+    BOOST_TEST(take<StartOrder>().size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -14,12 +14,6 @@
 /// Number of token values per epoch, so that a new keeper's tokens exceed all of its predecessor's.
 constexpr std::uint64_t tokenIncrementsPerEpoch = 1U << 20U;
 
-template <typename T>
-T scaled(T time, double factor)
-{
-    return T{static_cast<typename T::rep>(static_cast<double>(time.count()) * factor)};
-}
-
 } // namespace
 
 UpstreamLedger::UpstreamLedger(UpstreamEntry entry, std::uint64_t epoch, const LeaseTimes &times)
@@ -338,7 +332,7 @@
 
 TimePoint UpstreamLedger::leaseExpiry() const
 {
-    return m_leaseEnd + scaled(m_times.lease, m_times.maxClockDrift) + m_times.expiryMargin;
+    return m_leaseEnd + m_times.expiryDelay();
 }
 
 void UpstreamLedger::step(TimePoint now, LedgerOutputs &out)
