--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -298,7 +298,7 @@
     };
     for (const JobNumber number : round.order) {
         Job &job = m_jobs.at(number);
-        if (!m_endingRuns.contains(job.spec.id.value())) {
+        if (!m_endingRuns.mayExecute(job.spec.id, now)) {
             dispatchJob(number, job, canStartHere(job), now, actions);
         }
     }
@@ -311,7 +311,7 @@
                                     FleetActions &actions)
 {
     Job &job = m_jobs.at(hopeless.number);
-    const bool mayStart = !m_endingRuns.contains(job.spec.id.value());
+    const bool mayStart = !m_endingRuns.mayExecute(job.spec.id, now);
     if (mayStart && placesFor(job.spec, job.deadline - now, now) >= job.waiting) {
         return dispatchJob(hopeless.number, job, canStartHere, now, actions);
     }
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -190,10 +190,7 @@
     const JobNumber number = over.task.job;
     const auto found = m_jobs.find(number);
     if (found == m_jobs.end()) {
-        const auto ended = m_endedJobs.find(number);
-        if (ended != m_endedJobs.end() && --m_endingRuns[ended->second] == 0) {
-            m_endingRuns.erase(ended->second);
-        }
+        m_endingRuns.runEnded(number, m_abandonedRunsEndAt.value_or(now));
         if (over.kind == RunEndKind::Done) {
             m_upstreamWatch.succeeded(upstream);
         } else if (over.kind != RunEndKind::Failed) {
@@ -250,10 +247,7 @@
     m_upstreamWatch.endedInconclusively(upstream);
     const auto found = m_jobs.find(number);
     if (found == m_jobs.end()) {
-        const auto ended = m_endedJobs.find(number);
-        if (ended != m_endedJobs.end() && --m_endingRuns[ended->second] == 0) {
-            m_endingRuns.erase(ended->second);
-        }
+        m_endingRuns.runEnded(number, now);
         return;
     }
     Job &job = found->second;
