Correct estimates by finished runs and place tasks by their chance to end in time

Change: EstimateCorrection learns the regression of each queue; objective, expected run times and the peers' limit follow the prediction. choosePlacement() ranks by the expected value of the run and waits for a faster upstream only for a tenth of the caller's time.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -8,10 +8,12 @@
 #include <vector>
 
 #include "rattandock/fleet/admission.hpp"
+#include "rattandock/fleet/estimate_correction.hpp"
 #include "rattandock/fleet/fleet_action.hpp"
 #include "rattandock/fleet/fleet_event.hpp"
 #include "rattandock/fleet/fleet_options.hpp"
 #include "rattandock/fleet/member_reads.hpp"
+#include "rattandock/fleet/placement.hpp"
 #include "rattandock/fleet/run_times.hpp"
 #include "rattandock/fleet/sharing.hpp"
 #include "rattandock/fleet/upstream_quarantine.hpp"
@@ -115,6 +117,7 @@
         std::size_t done = 0;
         /// A later answer counts as late.
         TimePoint objective;
+        TimePoint arrivedAt;
         /// Latest time to answer; the answer margin is already subtracted.
         TimePoint deadline;
         /// The job is turned away if no task has started by then.
@@ -229,9 +232,18 @@
     /// Starts one task on a kept upstream. Returns false if no upstream is suitable.
     bool startOnKeptUpstream(JobNumber number, Job &job, std::size_t index, TimePoint now,
                              FleetActions &actions);
-    /// Returns the largest run time, in percent of the estimate, with which an upstream can still
-    /// end a task of the job within the time left.
-    std::uint32_t maxUsefulRunTimePercent(const FleetJob &job, Duration left) const;
+    /// Predicts the job's run time and adjusts its objective to the prediction.
+    void predictRunTime(FleetJob &job) const;
+    /// Returns the limits for placing a task of the job.
+    PlacementLimits placementLimits(const FleetJob &job, Duration untilObjective,
+                                    Duration untilDeadline, bool mayWaitForFaster) const;
+    PlacementLimits placementLimitsOf(const Job &job, TimePoint now) const;
+    /// Adds the run time of a successful run to the statistics.
+    void addRunTime(const UpstreamEntry &upstream, const FleetJob &job, Duration elapsed);
+    /// Returns the largest run time, in percent of the predicted one, with which an upstream is
+    /// useful for a task with these limits.
+    static std::uint32_t maxUsefulRunTimePercent(const FleetJob &job,
+                                                 const PlacementLimits &limits);
     /// Offers waiting tasks to other VMs that have reported free room.
     void offerWaitingTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
     /// Returns the latest time at which the job's tasks can start and still be expected to end in
@@ -294,6 +306,7 @@
     std::optional<TimePoint> m_pausedAt;
     PeerRoom m_sharedRoom;
     RunTimes m_runTimes;
+    EstimateCorrection m_estimates;
     UpstreamQuarantine m_upstreamWatch;
     Jobs m_jobs;
     std::unordered_map<JobId, JobNumber> m_jobsById;
--- a/include/rattandock/fleet/fleet_job.hpp
+++ b/include/rattandock/fleet/fleet_job.hpp
@@ -26,6 +26,9 @@
     Resources need;
     /// The caller's estimate of a task's run time. May be inaccurate.
     Duration estimate{};
+    /// Expected run time of a task on an upstream of average speed; 0 until a dispatcher has set
+    /// it. Each VM predicts it from its own statistics, so it is not sent to other VMs.
+    Duration predicted{};
     /// Label that an upstream must have. If empty, any upstream may run the job.
     std::string requiredLabel;
     /// Rack that holds the tasks' data; empty if there is no preference.
@@ -36,6 +39,9 @@
     Duration deadline{};
     /// Target time from the submission to the answer.
     Duration objective{};
+    /// Part of `objective` that grows with the run time, in multiples of `estimate`; 0 if the
+    /// objective is fixed. Not sent to other VMs, which receive the time that is left.
+    double stretch = 0;
     /// The job fails when one of its tasks has failed this many times.
     std::uint32_t maxAttempts = 1;
     /// Lower values come first among jobs that are equally urgent.
--- a/include/rattandock/fleet/placement.hpp
+++ b/include/rattandock/fleet/placement.hpp
@@ -28,21 +28,38 @@
     Duration untilDeadline{};
     /// Expected run time on the fastest upstream of the fleet, whether it is free or busy.
     Duration fastestRunTime{};
+    /// Standard deviation of the logarithm of actual against expected run time.
+    double runTimeSpread = 0.4;
+    /// False if the task has waited so long that it starts on the best free upstream.
+    bool mayWaitForFaster = true;
 };
 
-/// A run is safe if at least this multiple of its expected run time is left until the deadline. Run
-/// times vary by 40% around the estimates, so one of 25 runs exceeds twice its expected run time.
-inline constexpr double deadlineSafetyFactor = 2.0;
+/// Returns the probability that a run ends within `time`. Run times are taken as log-normal around
+/// `expected`. Thread safety: any thread.
+double chanceToEndWithin(Duration expected, Duration time, double runTimeSpread);
+
+/// Returns the expected value of a run for its caller, from 0 to 1: 1 if it ends within
+/// `untilObjective`, a fifth if it ends later but before the deadline. Thread safety: any thread.
+double expectedValue(Duration expected, const PlacementLimits &limits);
+
+/// Returns the longest expected run time, at least `limits.fastestRunTime`, with which a run has
+/// nearly the value of one on the fastest upstream. Thread safety: any thread.
+Duration maxUsefulRunTime(const PlacementLimits &limits);
+
+/// Returns true if no run has a reasonable chance to end before the deadline, not even on the
+/// fastest upstream. Thread safety: any thread.
+bool isHopeless(const PlacementLimits &limits);
 
 /// Returns the index of the upstream to start the task on, or `std::nullopt` if the task should
-/// wait for a faster upstream or cannot end before the deadline on any candidate.
+/// wait for a faster upstream or hardly can end before the deadline on any candidate.
 ///
 /// Load pattern: tasks that need 27 of the 64 or 96 cores of an upstream, upstream speeds that
-/// differ by more than a factor of two, and a few long tasks that end in time only on the fast
-/// upstreams. The slowest upstream that meets the objective is preferred, so that fast upstreams
-/// stay free for the tasks that need them. A long task waits for a fast upstream as long as a run
-/// there is safe. Among upstreams of similar speed, the one with the least CPU left after the start
-/// is preferred, which limits fragmentation (best fit).
+/// differ by more than a factor of two, and long tasks that end in time only on the fast
+/// upstreams. The slowest upstream on which the run has nearly the best expected value is
+/// preferred, so that fast upstreams stay free for the tasks that gain most from them. A long task
+/// waits for a fast upstream while that raises its expected value. Among upstreams of similar
+/// speed, the one with the least CPU left after the start is preferred, which limits fragmentation
+/// (best fit).
 std::optional<std::size_t> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                            const PlacementLimits &limits);
 
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -48,8 +48,9 @@
 template <Is<fleet::FleetJob> T>
 auto fields(T &it)
 {
-    auto &[id, queue, service, payload, taskCount, need, estimate, requiredLabel, preferredRack,
-           maxPerUpstream, deadline, objective, maxAttempts, priority] = it;
+    // `predicted` and `stretch` are not sent, see FleetJob.
+    auto &[id, queue, service, payload, taskCount, need, estimate, predicted, requiredLabel,
+           preferredRack, maxPerUpstream, deadline, objective, stretch, maxAttempts, priority] = it;
     return std::tie(id, queue, service, payload, taskCount, need, estimate, requiredLabel,
                     preferredRack, maxPerUpstream, deadline, objective, maxAttempts, priority);
 }
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -106,7 +106,9 @@
 
 std::size_t FleetDispatcher::placesFor(const FleetJob &job, TimePoint now) const
 {
-    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job, job.deadline);
+    const PlacementLimits limits =
+            placementLimits(job, job.objective, job.deadline - m_options.answerMargin, true);
+    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job, limits);
     std::size_t places = m_sharedRoom.countFittingTasks(job.need.cpu, maxPercent);
     for (const auto &[id, kept] : m_keptUpstreams) {
         const UpstreamEntry &entry = kept.ledger.entry();
@@ -169,14 +171,16 @@
 void FleetDispatcher::handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions)
 {
     replaceJob(event.job.id, now, actions);
-    if (const auto refusal = checkAdmission(event.job, now)) {
-        return turnAway(event.request, event.job, *refusal, actions);
+    FleetJob job = event.job;
+    predictRunTime(job);
+    if (const auto refusal = checkAdmission(job, now)) {
+        return turnAway(event.request, job, *refusal, actions);
     }
-    std::vector<std::uint32_t> indices(event.job.taskCount);
-    for (std::uint32_t n = 0; n < event.job.taskCount; ++n) {
+    std::vector<std::uint32_t> indices(job.taskCount);
+    for (std::uint32_t n = 0; n < job.taskCount; ++n) {
         indices[n] = n;
     }
-    const JobNumber number = addJob(event.job, event.request, std::move(indices), 1, now);
+    const JobNumber number = addJob(std::move(job), event.request, std::move(indices), 1, now);
     m_jobsById[event.job.id] = number;
     m_jobsByRequest[event.request] = number;
 }
@@ -201,6 +205,7 @@
         it.nextRun = firstRun;
     }
     job.indices = std::move(indices);
+    job.arrivedAt = now;
     job.objective = now + spec.objective;
     job.deadline = now + spec.deadline - m_options.answerMargin;
     job.firstStartLimit = firstStartLimit(now, job.deadline);
@@ -242,8 +247,10 @@
         || m_staleLinks.contains(event.from)) {
         return answer(OfferResult::NotRun);
     }
-    const JobNumber number = addJob(offer.job, OfferOrigin{event.from, offer.number}, offer.tasks,
-                                    offer.firstRun, now);
+    FleetJob job = offer.job;
+    predictRunTime(job);
+    const JobNumber number = addJob(std::move(job), OfferOrigin{event.from, offer.number},
+                                    offer.tasks, offer.firstRun, now);
     m_jobs.at(number).firstStartLimit = offeredStartLimit(now);
     m_jobsByOffer[{event.from, offer.number}] = number;
 }
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -1,6 +1,7 @@
 // Start, offer, repetition and end of the runs of a FleetDispatcher's jobs.
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -17,6 +18,8 @@
 /// Safety margin before the caller's deadline, relative to the expected run time, as run times
 /// spread by 40%.
 constexpr double deadlineMarginFactor = 0.4;
+/// A task waits for a faster upstream for at most this share of its caller's time.
+constexpr double maxWaitForFasterShare = 0.1;
 /// A job is nearly done if at most one in this many of its tasks waits for a start.
 constexpr std::size_t nearlyDoneDivisor = 3;
 /// Maximum number of jobs that one call of dispatch() considers, which bounds the time that an
@@ -28,6 +31,11 @@
     return Duration{static_cast<Duration::rep>(static_cast<double>(time.count()) * factor)};
 }
 
+Duration predictedRun(const FleetJob &job)
+{
+    return job.predicted > Duration{} ? job.predicted : job.estimate;
+}
+
 bool isOnRack(const UpstreamEntry &entry, const RackId &rack)
 {
     return rack.value().empty()
@@ -36,16 +44,24 @@
 
 } // namespace
 
+void FleetDispatcher::predictRunTime(FleetJob &job) const
+{
+    job.predicted = m_estimates.corrected(job.queue, job.estimate);
+    // The objective counts from the actual run time, which the estimate misses by 40%.
+    job.objective += scaled(job.predicted - job.estimate, job.stretch);
+    job.stretch = 0;
+}
+
 Duration FleetDispatcher::expectedRun(const FleetJob &job) const
 {
-    return scaled(job.estimate, m_runTimes.meanFactor());
+    return scaled(predictedRun(job), m_runTimes.meanFactor());
 }
 
 Duration FleetDispatcher::fastestRun(const FleetJob &job) const
 {
     const double own = m_runTimes.fastestFactor();
     const double others = m_sharedRoom.fastestPercent() / 100.0;
-    return scaled(job.estimate, others > 0 ? std::min(own, others) : own);
+    return scaled(predictedRun(job), others > 0 ? std::min(own, others) : own);
 }
 
 TimePoint FleetDispatcher::latestStartOf(const Job &job) const
@@ -134,15 +150,14 @@
             && it.ledger.runCountOfJob(number) >= job.spec.maxPerUpstream) {
             continue;
         }
-        Duration expected = m_runTimes.expected(id, upstreamKind(entry), job.spec.estimate);
+        Duration expected = m_runTimes.expected(id, upstreamKind(entry), predictedRun(job.spec));
         if (!isOnRack(entry, job.spec.preferredRack)) {
             expected = scaled(expected, remoteDataFactor);
         }
         candidates.push_back({kept.size(), room.minus(job.spec.need).cpu.value(), expected});
         kept.push_back(&it);
     }
-    const auto choice = choosePlacement(
-            candidates, {job.objective - now, job.deadline - now, fastestRun(job.spec)});
+    const auto choice = choosePlacement(candidates, placementLimitsOf(job, now));
     if (!choice) {
         return false;
     }
@@ -167,18 +182,30 @@
     return true;
 }
 
-std::uint32_t FleetDispatcher::maxUsefulRunTimePercent(const FleetJob &job, Duration timeLeft) const
+PlacementLimits FleetDispatcher::placementLimits(const FleetJob &job, Duration untilObjective,
+                                                 Duration untilDeadline,
+                                                 bool mayWaitForFaster) const
 {
-    const auto estimate = static_cast<double>(job.estimate.count());
-    const auto left = static_cast<double>(timeLeft.count());
-    if (estimate <= 0) {
+    return {untilObjective, untilDeadline, fastestRun(job), m_estimates.logSpread(),
+            mayWaitForFaster};
+}
+
+PlacementLimits FleetDispatcher::placementLimitsOf(const Job &job, TimePoint now) const
+{
+    const bool mayWait =
+            now < job.arrivedAt + scaled(job.deadline - job.arrivedAt, maxWaitForFasterShare);
+    return placementLimits(job.spec, job.objective - now, job.deadline - now, mayWait);
+}
+
+std::uint32_t FleetDispatcher::maxUsefulRunTimePercent(const FleetJob &job,
+                                                       const PlacementLimits &limits)
+{
+    const auto predicted = static_cast<double>(predictedRun(job).count());
+    if (predicted <= 0) {
         return std::numeric_limits<std::uint32_t>::max();
     }
-    // As in choosePlacement(): a run has to be safe (see deadlineSafetyFactor) if the fastest
-    // upstream allows it; else it only has to be expected to end before the deadline.
-    const bool canBeSafe =
-            deadlineSafetyFactor * static_cast<double>(fastestRun(job).count()) <= left;
-    const double percent = 100 * left / estimate / (canBeSafe ? deadlineSafetyFactor : 1.0);
+    const double percent =
+            std::ceil(100 * static_cast<double>(maxUsefulRunTime(limits).count()) / predicted);
     return static_cast<std::uint32_t>(std::clamp(percent, 0.0, 1e6));
 }
 
@@ -191,7 +218,7 @@
             waiting.push_back(n);
         }
     }
-    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job.spec, job.deadline - now);
+    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job.spec, placementLimitsOf(job, now));
     std::size_t next = 0;
     while (next < waiting.size()) {
         const auto share =
@@ -239,6 +266,15 @@
     }
 }
 
+void FleetDispatcher::addRunTime(const UpstreamEntry &upstream, const FleetJob &job,
+                                 Duration elapsed)
+{
+    const std::string kind = upstreamKind(upstream);
+    const double speed = m_runTimes.factor(upstream.id, kind) / m_runTimes.meanFactor();
+    m_runTimes.addSample(upstream.id, kind, predictedRun(job), elapsed);
+    m_estimates.addSample(job.queue, job.estimate, scaled(elapsed, 1 / speed));
+}
+
 void FleetDispatcher::handleRunEnd(const UpstreamId &upstream, const RunEnded &over, TimePoint now,
                                    FleetActions &actions)
 {
@@ -269,8 +305,7 @@
         const auto listed = m_listedUpstreams.find(upstream);
         if (listed != m_listedUpstreams.end() && job.spec.estimate > Duration{}
             && isOnRack(listed->second.entry, job.spec.preferredRack)) {
-            m_runTimes.addSample(upstream, upstreamKind(listed->second.entry), job.spec.estimate,
-                                 over.elapsed);
+            addRunTime(listed->second.entry, job.spec, over.elapsed);
         }
         if (m_upstreamWatch.succeeded(upstream) == UpstreamQuarantine::Change::Restored) {
             actions.emplace_back(FleetLogRecord{
--- a/src/rattandock/fleet/submission.cpp
+++ b/src/rattandock/fleet/submission.cpp
@@ -72,6 +72,7 @@
     }
     const double work = queue.stretch * static_cast<double>(step.estimate.count());
     job.objective = Duration{static_cast<Duration::rep>(work)} + queue.targetLatency;
+    job.stretch = queue.stretch;
     job.maxAttempts = std::max(queue.maxAttempts, 1U);
     job.priority = queue.priority;
     return job;
