Correct estimates by range, so that long jobs keep theirs

Change: an average ratio for each range of estimates, without samples the estimate itself.

Tests: the prediction beats the literal estimate, keeps long estimates, is bounded.

--- a/include/rattandock/fleet/estimate_correction.hpp
+++ b/include/rattandock/fleet/estimate_correction.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <unordered_map>
 
 #include "rattandock/base/time.hpp"
@@ -8,13 +9,14 @@
 
 namespace rattandock::fleet {
 
-/// Corrects the callers' estimates of run times from finished runs, by a linear regression of the
-/// logarithm of the run time on the logarithm of the estimate, for each queue.
+/// Corrects the callers' estimates of run times from finished runs, for each queue and each range
+/// of estimates.
 ///
 /// Load pattern: the estimates of a queue are off by 40% in both directions, and the run times
-/// themselves spread by 40% around the queue's mean. An estimate far above the mean is then mostly
-/// too high, and one far below it too low. Taken literally, estimates make the scheduler refuse
-/// long jobs that could end in time, and place underestimated ones on slow upstreams.
+/// themselves spread by 40% around the queue's mean, but 3 of 100 take seven times as long. An
+/// estimate of twice the mean is then mostly too high, one of seven times the mean is about right,
+/// and one far below the mean is too low. Taken literally, estimates make the scheduler refuse long
+/// jobs that could end in time, and place underestimated ones on slow upstreams.
 /// Thread safety: none.
 class EstimateCorrection
 {
@@ -23,28 +25,29 @@
     /// Precondition: `estimate` is positive.
     void addSample(const QueueId &queue, Duration estimate, Duration elapsed);
     /// Returns the expected run time on an upstream of average speed: the estimate itself while the
-    /// queue has no samples.
+    /// queue has no samples near it.
     Duration corrected(const QueueId &queue, Duration estimate) const;
     /// Returns the standard deviation of the logarithm of actual against corrected run time.
     double logSpread() const;
 
 private:
-    /// Exponentially weighted sums of a regression of y = log(run time) on x = log(estimate).
-    struct Regression
+    /// Average ratio of run time to estimate in one range of estimates.
+    struct Range
     {
-        double weight = 0;
-        double meanX = 0;
-        double meanY = 0;
-        double sumXX = 0;
-        double sumXY = 0;
+        double logRatio = 0;
+        double samples = 0;
+    };
+    /// Ranges by their index on a logarithmic scale of the estimate.
+    struct Queue
+    {
+        std::map<int, Range> ranges;
         /// Number of the last sample of all queues that was added here.
         std::uint64_t lastSample = 0;
-
-        void add(double x, double y);
-        double predict(double x) const;
     };
 
-    std::unordered_map<QueueId, Regression> m_queues;
+    static double logRatioAt(const Queue &queue, double logEstimate);
+
+    std::unordered_map<QueueId, Queue> m_queues;
     std::uint64_t m_samples = 0;
     double m_residualVariance = 0.16;
 };
--- a/src/rattandock/fleet/estimate_correction.cpp
+++ b/src/rattandock/fleet/estimate_correction.cpp
@@ -7,14 +7,13 @@
 
 namespace {
 
-/// Factor on the weight of all earlier samples of a queue for each new one, so that about the last
-/// 200 runs count.
-constexpr double sampleDecay = 0.995;
-/// The estimates of a queue are trusted as they are (slope 1, no offset) with the weight of this
-/// many samples. Runs of one job are alike, so a few runs say little.
-constexpr double priorSamples = 8;
-/// Variance of the logarithm of the estimates that the prior of the slope assumes.
-constexpr double priorVariance = 0.3;
+/// Width of a range of estimates, as a logarithm: a factor of about 1.4.
+constexpr double rangeWidth = 0.35;
+/// Estimates are trusted as they are with the weight of this many samples. The runs of one job are
+/// alike, so a few runs say little.
+constexpr double priorSamples = 6;
+/// Weight of a new sample in the average of its range, so that about the last 100 runs count.
+constexpr double sampleWeight = 0.01;
 /// Weight of a new sample in the variance of the residuals.
 constexpr double residualWeight = 0.01;
 /// Bounds of the standard deviation of the residuals.
@@ -32,22 +31,19 @@
 
 } // namespace
 
-void EstimateCorrection::Regression::add(double x, double y)
+double EstimateCorrection::logRatioAt(const Queue &queue, double logEstimate)
 {
-    weight = sampleDecay * weight + 1;
-    const double dx = x - meanX;
-    meanX += dx / weight;
-    meanY += (y - meanY) / weight;
-    sumXX = sampleDecay * sumXX + dx * (x - meanX);
-    sumXY = sampleDecay * sumXY + dx * (y - meanY);
-}
-
-double EstimateCorrection::Regression::predict(double x) const
-{
-    constexpr double priorSum = priorSamples * priorVariance;
-    const double slope = std::clamp((sumXY + priorSum) / (sumXX + priorSum), 0.0, 1.0);
-    const double fitted = meanY + slope * (x - meanX);
-    return (weight * fitted + priorSamples * x) / (weight + priorSamples);
+    const auto shrunk = [&](int range) {
+        const auto it = queue.ranges.find(range);
+        return it == queue.ranges.end() ? 0
+                                        : it->second.logRatio * it->second.samples
+                                                  / (it->second.samples + priorSamples);
+    };
+    // Interpolates between the middles of two ranges.
+    const double position = logEstimate / rangeWidth - 0.5;
+    const int below = static_cast<int>(std::floor(position));
+    const double share = position - below;
+    return (1 - share) * shrunk(below) + share * shrunk(below + 1);
 }
 
 void EstimateCorrection::addSample(const QueueId &queue, Duration estimate, Duration elapsed)
@@ -56,13 +52,16 @@
         m_queues.erase(std::ranges::min_element(
                 m_queues, {}, [](const auto &it) { return it.second.lastSample; }));
     }
-    Regression &regression = m_queues[queue];
+    Queue &statistics = m_queues[queue];
+    statistics.lastSample = ++m_samples;
     const double x = logOf(estimate);
-    const double predicted = regression.predict(x);
-    const double residual = std::clamp(logOf(elapsed) - predicted, -maxResidual, maxResidual);
+    const double expected = logRatioAt(statistics, x);
+    const double residual = std::clamp(logOf(elapsed) - x - expected, -maxResidual, maxResidual);
     m_residualVariance += residualWeight * (residual * residual - m_residualVariance);
-    regression.add(x, predicted + residual);
-    regression.lastSample = ++m_samples;
+    Range &range = statistics.ranges[static_cast<int>(std::floor(x / rangeWidth))];
+    range.samples += 1;
+    const double weight = std::max(sampleWeight, 1 / range.samples);
+    range.logRatio += weight * (expected + residual - range.logRatio);
 }
 
 Duration EstimateCorrection::corrected(const QueueId &queue, Duration estimate) const
@@ -71,7 +70,8 @@
     if (it == m_queues.end() || estimate <= Duration{}) {
         return estimate;
     }
-    return Duration{static_cast<Duration::rep>(std::exp(it->second.predict(logOf(estimate))))};
+    const double factor = std::exp(logRatioAt(it->second, logOf(estimate)));
+    return Duration{static_cast<Duration::rep>(static_cast<double>(estimate.count()) * factor)};
 }
 
 double EstimateCorrection::logSpread() const
