--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -51,17 +51,19 @@
 void FleetDispatcher::handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions)
 {
     replaceJob(event.job.id, now, actions);
-    const CoreWork work = expectedWork(event.job, event.job.taskCount);
-    m_queueProfiles.recordArrival(event.job, work, now);
-    if (const auto refusal = checkAdmission(event.job, now)) {
-        return turnAway(event.request, event.job, *refusal, actions);
+    FleetJob job = event.job;
+    predictRunTime(job);
+    const CoreWork work = expectedWork(job, job.taskCount);
+    m_queueProfiles.recordArrival(job, work, now);
+    if (const auto refusal = checkAdmission(job, now)) {
+        return turnAway(event.request, job, *refusal, actions);
     }
-    m_queueProfiles.recordAdmission(event.job, work, now);
-    std::vector<std::uint32_t> indices(event.job.taskCount);
-    for (std::uint32_t n = 0; n < event.job.taskCount; ++n) {
+    m_queueProfiles.recordAdmission(job, work, now);
+    std::vector<std::uint32_t> indices(job.taskCount);
+    for (std::uint32_t n = 0; n < job.taskCount; ++n) {
         indices[n] = n;
     }
-    const JobNumber number = addJob(event.job, event.request, std::move(indices), 1, now);
+    const JobNumber number = addJob(std::move(job), event.request, std::move(indices), 1, now);
     m_jobsById[event.job.id] = number;
     m_jobsByRequest[event.request] = number;
 }
@@ -86,6 +88,7 @@
         it.nextRun = firstRun;
     }
     job.indices = std::move(indices);
+    job.arrivedAt = now;
     job.objective = now + spec.objective;
     job.deadline = now + spec.deadline - m_options.answerMargin;
     job.spec = std::move(spec);
@@ -129,8 +132,10 @@
         || m_staleLinks.contains(event.from)) {
         return answer(OfferResult::NotRun);
     }
-    const JobNumber number = addJob(offer.job, OfferOrigin{event.from, offer.number}, offer.tasks,
-                                    offer.firstRun, now);
+    FleetJob job = offer.job;
+    predictRunTime(job);
+    const JobNumber number = addJob(std::move(job), OfferOrigin{event.from, offer.number},
+                                    offer.tasks, offer.firstRun, now);
     m_jobs.at(number).firstStartLimit = offeredStartLimit(now);
     m_queueProfiles.recordOffer(offer.job, now);
     m_jobsByOffer[{event.from, offer.number}] = number;
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -104,7 +104,8 @@
 
 std::size_t FleetDispatcher::placesFor(const FleetJob &job, Duration timeLeft, TimePoint now) const
 {
-    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job, timeLeft);
+    const std::uint32_t maxPercent =
+            maxUsefulRunTimePercent(job, placementLimits(job, timeLeft, timeLeft, true));
     std::size_t places = m_sharedRoom.countFittingTasks(job.need.cpu, maxPercent);
     for (const auto &[id, kept] : m_keptUpstreams) {
         const UpstreamEntry &entry = kept.ledger.entry();
@@ -131,7 +132,7 @@
 TimePoint FleetDispatcher::latestStartOf(const Job &job, const RunFactors &factors) const
 {
     // A long job may still meet its objective but not, with the margin, its caller's deadline.
-    const Duration run = scaled(job.spec.estimate, factors.fastest);
+    const Duration run = scaled(predictedRun(job.spec), factors.fastest);
     return std::min(job.objective, job.deadline - scaled(run, deadlineMarginFactor)) - run;
 }
 
@@ -157,11 +158,11 @@
                                          std::size_t waiting, TimePoint objective,
                                          TimePoint deadline, const RunFactors &factors) const
 {
-    const Duration run = scaled(spec.estimate, factors.fastest);
+    const Duration run = scaled(predictedRun(spec), factors.fastest);
     WaitingJob job;
     job.priority = spec.priority;
     job.protection = jobProtection(spec.id);
-    job.taskWork = workOf(spec, 1, scaled(spec.estimate, factors.mean));
+    job.taskWork = workOf(spec, 1, scaled(predictedRun(spec), factors.mean));
     job.remainingWork = static_cast<CoreWork>(waiting) * job.taskWork;
     job.spentWork = static_cast<CoreWork>(tasks - waiting) * job.taskWork;
     job.queueMeanWork = m_queueProfiles.meanWork(spec.queue);
@@ -183,7 +184,7 @@
     result.isStarted = !job.isUnstarted();
     if (std::holds_alternative<OfferOrigin>(job.origin)) {
         // An offer states the time that is left, not how late an answer is still useful.
-        result.latestUsefulStart = job.deadline - scaled(job.spec.estimate, factors.fastest);
+        result.latestUsefulStart = job.deadline - scaled(predictedRun(job.spec), factors.fastest);
     }
     return result;
 }
@@ -225,7 +226,7 @@
         Duration::rep key = latestStart.time_since_epoch().count();
         if (rank == 2) {
             key = static_cast<Duration::rep>(job.waiting) * job.spec.need.cpu.value()
-                  * job.spec.estimate.count();
+                  * predictedRun(job.spec).count();
         } else if (isLate) {
             key = job.deadline.time_since_epoch().count();
         }
@@ -428,7 +429,7 @@
     for (const auto &[number, job] : m_jobs) {
         const Duration shortest =
                 job.waiting > 0
-                        ? scaled(scaled(job.spec.estimate, factors.fastest), minRunTimeFactor)
+                        ? scaled(scaled(predictedRun(job.spec), factors.fastest), minRunTimeFactor)
                         : Duration{};
         if (now + shortest >= job.deadline) {
             missingDeadline.push_back(number);
