Test how the operator's table is followed

Nothing tested FleetSync. A removed row, a whole read without a row, an empty answer, a lost history or a full answer could have been handled wrongly unnoticed.

The new tests drive FleetSync and FleetLoop on one I/O thread against a scripted store.

--- /dev/null
+++ b/src/rattandock/app/fleet_sync_test.cpp
@@ -0,0 +1,265 @@
+// Tests of the reading of the operator's table, against a scripted store.
+#include "rattandock/app/fleet_sync.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <deque>
+#include <future>
+#include <thread>
+
+#include "rattandock/adapters/io_wait.hpp"
+#include "rattandock/adapters/system_clock.hpp"
+
+using namespace rattandock;
+using namespace rattandock::app;
+using namespace std::chrono_literals;
+using ports::StoreFailure;
+using ports::StoreRow;
+using ports::StoreRows;
+
+namespace {
+
+const std::string operatorTable = "op";
+
+/// Answers reads of the operator's table from a script. All other tables are empty.
+class ScriptedStore final : public ports::MetadataStore
+{
+public:
+    explicit ScriptedStore(boost::asio::io_context &io)
+        : m_io(io)
+    {
+    }
+
+    ports::ReadResult read(const std::string &table, const std::string & /*part*/) override
+    {
+        pause();
+        ++wholeReads[table];
+        return table == operatorTable ? whole : StoreRows{};
+    }
+    ports::ReadResult changes(const std::string &table, std::uint64_t after,
+                              Duration /*wait*/) override
+    {
+        pause();
+        if (table != operatorTable || script.empty()) {
+            return StoreRows{{}, after, false};
+        }
+        const ports::ReadResult next = script.front();
+        script.pop_front();
+        return next;
+    }
+    std::optional<std::vector<std::string>> parts(const std::string & /*table*/) override
+    {
+        return std::vector<std::string>{};
+    }
+    ports::WriteResult write(const std::vector<ports::StoreWrite> & /*writes*/) override
+    {
+        return ports::StoreCommitted{1};
+    }
+
+    StoreRows whole;
+    std::deque<ports::ReadResult> script;
+    std::map<std::string, int> wholeReads;
+
+private:
+    void pause()
+    {
+        boost::asio::steady_timer timer{m_io, 2ms};
+        adapters::awaitIo([&timer](auto handle) { timer.async_wait(handle); });
+    }
+
+    boost::asio::io_context &m_io;
+};
+
+class NoUpstreams final : public ports::UpstreamOrders
+{
+public:
+    ports::StartReply start(const boost::asio::ip::tcp::endpoint &,
+                            const fleet::StartOrder &) override
+    {
+        return {};
+    }
+    fleet::OrderResult stop(const boost::asio::ip::tcp::endpoint &,
+                            const fleet::StopOrder &) override
+    {
+        return {};
+    }
+    ports::LookReply look(const boost::asio::ip::tcp::endpoint &, const fleet::PollOrder &) override
+    {
+        return fleet::OrderResult{};
+    }
+    bool isReachable(const boost::asio::ip::tcp::endpoint &) override { return false; }
+};
+
+StoreRow row(const std::string &key, std::uint64_t version, bool isRemoved = false)
+{
+    return {"", key, isRemoved ? "" : std::to_string(version), version, isRemoved};
+}
+
+fleet::FleetOptions options()
+{
+    fleet::FleetOptions options;
+    options.vm = VmId{"vm"};
+    options.zone = ZoneId{"z"};
+    return options;
+}
+
+struct Fixture
+{
+    Fixture() { store.whole = {{row("config", 1), row("evacuate/a", 2)}, 10, false}; }
+    Fixture(const Fixture &) = delete;
+    ~Fixture()
+    {
+        onThread([&] { sync.stop(); });
+        waitUntil([&] { return sync.running() == 0; });
+        onThread([&] { loop.stop(); });
+        threads.stop();
+    }
+
+    /// The version of a configuration is the value of its row.
+    static DirectoryFormat format()
+    {
+        return {"upstreams",
+                operatorTable,
+                "config",
+                "evacuate/",
+                [](const std::string &, std::string_view) {
+                    return std::optional<fleet::UpstreamEntry>{};
+                },
+                [](std::string_view value) {
+                    fleet::FleetConfig config;
+                    config.version = ConfigurationVersion{std::stoull(std::string{value})};
+                    return std::optional{config};
+                }};
+    }
+    void start()
+    {
+        onThread([&] {
+            sync.start([&](const fleet::FleetConfig &it) { configuration = it.version.value(); },
+                       [](const auto &) {});
+        });
+    }
+    void onThread(const std::function<void()> &function)
+    {
+        std::promise<void> done;
+        threads.spawn(0, [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+    /// Fails the test if the condition does not come true.
+    void waitUntil(const std::function<bool()> &condition)
+    {
+        bool isTrue = false;
+        for (int n = 0; n < 2000 && !isTrue; ++n) {
+            onThread([&] { isTrue = condition(); });
+            std::this_thread::sleep_for(2ms);
+        }
+        BOOST_REQUIRE(isTrue);
+    }
+    std::set<ZoneId> evacuatedZones() const
+    {
+        std::set<ZoneId> zones;
+        for (const auto &it : loop.dispatcher().status().evacuations) {
+            zones.insert(it.zone);
+        }
+        return zones;
+    }
+    void waitForZones(const std::set<ZoneId> &zones)
+    {
+        waitUntil([&] { return evacuatedZones() == zones; });
+    }
+    void answerNext(const ports::ReadResult &result)
+    {
+        onThread([&] { store.script.push_back(result); });
+    }
+
+    adapters::IoThreads threads{1};
+    adapters::SystemClock clock;
+    adapters::Metrics metrics;
+    EventHistory history{metrics};
+    NoUpstreams orders;
+    ScriptedStore store{threads.io(0)};
+    FleetLoop loop{threads, clock, options(), orders, history};
+    FleetSync sync{store,
+                   loop,
+                   format(),
+                   fleet::MemberRow{VmId{"vm"}, Incarnation{1}, ZoneId{"z"}, "127.0.0.1:1"},
+                   fleet::DirectoryTimes{2s},
+                   threads.io(0)};
+    std::uint64_t configuration = 0;
+};
+
+const ZoneId zoneA{"a"};
+const ZoneId zoneB{"b"};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FleetSyncTest, Fixture)
+
+// Guards against a request that is missed in a whole read or a change, against one that is kept
+// after its row was removed, and against taking rows of other kinds for requests.
+BOOST_AUTO_TEST_CASE(followsRequestsForEvacuations)
+{
+    start();
+    waitForZones({zoneA});
+    BOOST_TEST(configuration == 1);
+    StoreRow otherPart = row("evacuate/c", 11);
+    otherPart.part = "p";
+    answerNext(StoreRows{
+            {row("evacuate/b", 11), otherPart, row("evacuate/", 11), row("evacuated", 11)},
+            11,
+            false});
+    waitForZones({zoneA, zoneB});
+    answerNext(StoreRows{{row("evacuate/a", 12, true)}, 12, false});
+    waitForZones({zoneB});
+}
+
+// Guards against a VM that stops because nothing changes in the operator's table.
+BOOST_AUTO_TEST_CASE(renewsTheAgeWithAnEmptyAnswer)
+{
+    start();
+    waitForZones({zoneA});
+    std::optional<TimePoint> first;
+    onThread([&] { first = loop.dispatcher().status().evacuationsAsOf; });
+    BOOST_REQUIRE(first.has_value());
+    waitUntil([&] { return loop.dispatcher().status().evacuationsAsOf > first; });
+    BOOST_TEST(store.wholeReads[operatorTable] == 1);
+    BOOST_TEST((evacuatedZones() == std::set{zoneA}));
+}
+
+// Guards against keeping a request whose removal was lost with the history of the store.
+BOOST_AUTO_TEST_CASE(withdrawsARequestThatAWholeReadLacks)
+{
+    start();
+    waitForZones({zoneA});
+    onThread([&] { store.whole = {{row("config", 1), row("evacuate/b", 20)}, 20, false}; });
+    answerNext(StoreFailure::HistoryGone);
+    waitForZones({zoneB});
+    BOOST_TEST(store.wholeReads[operatorTable] == 2);
+}
+
+// Guards against a full answer of the store that hides later rows.
+BOOST_AUTO_TEST_CASE(readsAllAfterAFullAnswer)
+{
+    start();
+    waitForZones({zoneA});
+    onThread([&] { store.whole = {{row("config", 1)}, 30, false}; });
+    answerNext(StoreRows{{row("evacuate/b", 25)}, 30, true});
+    waitForZones({});
+}
+
+// Guards against a configuration that is missed or repeated beside the requests, and against
+// reading on after a failed call from a wrong version.
+BOOST_AUTO_TEST_CASE(deliversConfigurationsBesideRequests)
+{
+    start();
+    waitForZones({zoneA});
+    answerNext(StoreFailure::NoAnswer);
+    answerNext(StoreRows{{row("config", 7), row("evacuate/a", 12, true)}, 12, false});
+    waitForZones({});
+    BOOST_TEST(configuration == 7);
+    BOOST_TEST(store.wholeReads[operatorTable] == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
