--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -48,6 +48,7 @@
     options.stopLimit = settings.fleet->stopLimit;
     options.drainLimit = settings.fleet->upstreamDrainLimit;
     options.peerSilence = settings.fleet->peerSilence;
+    options.evacuationLimit = settings.fleet->evacuationLimit;
     return options;
 }
 
@@ -60,7 +61,8 @@
             address.address().to_string() + ':' + std::to_string(address.port()),
             settings.fleet->weight,
             false,
-            0};
+            0,
+            fleet::ownMessageLevel};
 }
 
 } // namespace
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -129,7 +129,7 @@
         actions.emplace_back(SendToVm{event.from, TaskOfferEnded{offer.number, result}});
     };
     if (m_stopAt || m_keptUpstreams.empty() || offer.tasks.empty()
-        || m_staleLinks.contains(event.from)) {
+        || m_staleLinks.contains(event.from) || areKeptUpstreamsEvacuated()) {
         return answer(OfferResult::NotRun);
     }
     FleetJob job = offer.job;
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -364,16 +364,20 @@
     }
     bool isServed = false;
     bool fits = false;
+    bool fitsInEvacuatedZone = false;
     for (const auto &[id, listed] : m_listedUpstreams) {
         if (fits) {
             break;
         }
         const bool serves = listed.entry.service == job.service;
         isServed = isServed || serves;
-        fits = fits
-               || (serves && listed.entry.capacity.covers(job.need) && hasLabel(listed.entry, job));
+        const bool isFit =
+                serves && listed.entry.capacity.covers(job.need) && hasLabel(listed.entry, job);
+        const bool isEvacuated = m_evacuations.isEvacuated(listed.entry.zone);
+        fits = isFit && !isEvacuated;
+        fitsInEvacuatedZone = fitsInEvacuatedZone || (isFit && isEvacuated);
     }
-    if (!isServed) {
+    if (!isServed || (!fits && fitsInEvacuatedZone)) {
         return refusal(TurnAwayReason::NoUpstreams);
     }
     if (!fits) {
