Describe the cost of refusals, and split its sources

The check whether a job may be offered computed the fastest run time over all upstreams for each waiting job.

Change: admission and limits are in fleet_dispatcher_admission.cpp, the replay in a header of its own.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -121,6 +121,9 @@
         TimePoint deadline;
         /// The job is turned away if no task has started by then.
         TimePoint firstStartLimit;
+        /// While the job is unstarted, its tasks are offered to other VMs only before this time, so
+        /// that an offer that comes back unstarted leaves time for a refusal.
+        TimePoint offerLimit;
         /// Number of runs that were stopped as overdue.
         unsigned overdueStops = 0;
         /// True if a task was started here or may have been started by another VM.
@@ -271,6 +274,8 @@
         double fastest = 1;
     };
     RunFactors runFactors() const;
+    /// Returns the shortest run time of the job's tasks to allow for.
+    static Duration shortestRun(const FleetJob &job, const RunFactors &factors);
     /// Starts or offers the waiting tasks of all jobs in scheduling order and refuses hopeless
     /// jobs. Does nothing unless a job or the capacity has changed.
     void dispatch(TimePoint now, FleetActions &actions);
@@ -296,10 +301,15 @@
     /// Returns the latest time at which the job's tasks can start and still be expected to end in
     /// time, if no priorities compete.
     TimePoint latestStartOf(const Job &job, const RunFactors &factors) const;
-    /// Returns until when a caller's new job may wait for its first start.
-    TimePoint firstStartLimitOf(const Job &job, TimePoint now) const;
     /// Returns true if waiting tasks of the job may be offered to other VMs.
-    bool mayOffer(const Job &job, TimePoint now) const;
+    static bool mayOffer(const Job &job, TimePoint now)
+    {
+        return job.hasStarted || now < job.offerLimit;
+    }
+
+    // Admission (fleet_dispatcher_admission.cpp).
+    /// Sets the times until which a new job may wait for its first start and be offered.
+    void setStartLimits(Job &job, TimePoint now) const;
     /// Returns the refusal of an arriving job, or `std::nullopt` if it is admitted.
     std::optional<JobTurnedAway> checkAdmission(const FleetJob &job, TimePoint now) const;
     /// Returns the retry-after time if an arriving job is hopeless, by the order of all waiting
--- a/include/rattandock/fleet/wait_limit.hpp
+++ b/include/rattandock/fleet/wait_limit.hpp
@@ -10,7 +10,8 @@
 /// Load pattern: bursts in which long tasks wait for a fast upstream, or short tasks for any
 /// upstream, until hardly any time is left before the deadline. Most of these jobs fail, and their
 /// callers get the answer too late to retry elsewhere. A refusal at half of the time leaves the
-/// caller as much time as it has already waited. Thread safety: any thread.
+/// caller as much time as it has already waited. Used where no priorities compete; else
+/// orderWaitingJobs() decides which jobs are hopeless. Thread safety: any thread.
 TimePoint firstStartLimit(TimePoint arrived, TimePoint deadline);
 
 /// Returns the time until which tasks offered by another VM may wait for their first start. They
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -89,7 +89,7 @@
     job.objective = now + spec.objective;
     job.deadline = now + spec.deadline - m_options.answerMargin;
     job.spec = std::move(spec);
-    job.firstStartLimit = firstStartLimitOf(job, now);
+    setStartLimits(job, now);
     m_isDispatchDue = true;
     return number;
 }
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -1,32 +1,13 @@
-// Admission, order and refusal of the waiting jobs of a FleetDispatcher.
+// Order and refusal of the waiting jobs of a FleetDispatcher.
 #include <algorithm>
 #include <tuple>
 
 #include "rattandock/fleet/fleet_dispatcher.hpp"
-#include "rattandock/fleet/wait_limit.hpp"
 
 namespace rattandock::fleet {
 
 namespace {
 
-/// Short, as the other VMs take over the work of a stopping VM at once.
-constexpr Duration stoppingRetryAfter = std::chrono::milliseconds{500};
-/// The next read of the list of upstreams may return some.
-constexpr Duration noUpstreamsRetryAfter = std::chrono::seconds{1};
-/// Long, as upstreams of another size are rarely added.
-constexpr Duration nothingFitsRetryAfter = std::chrono::seconds{30};
-constexpr Duration pausedRetryAfter = std::chrono::milliseconds{100};
-/// Time after a pause of this process in which requests that were buffered in the sockets are
-/// read. Their callers may have sent them to another VM meanwhile, so they are refused.
-constexpr Duration pauseBacklogTime = std::chrono::milliseconds{100};
-/// Shortest run time to allow for, relative to the expected one, as estimates may be too high. A
-/// job is refused for its estimate alone only if even such a run would miss the deadline.
-constexpr double minRunTimeFactor = 0.6;
-/// Time from the start of this VM until it has claimed upstreams and received their first reports.
-constexpr Duration startupTime = std::chrono::milliseconds{1000};
-/// A stopping VM accepts jobs on open connections until this long before its stop limit, so that
-/// they can end in time.
-constexpr Duration stoppingReserve = std::chrono::milliseconds{2000};
 /// Safety margin before the caller's deadline, relative to the expected run time, as run times
 /// spread by 40%.
 constexpr double deadlineMarginFactor = 0.4;
@@ -40,10 +21,6 @@
 constexpr double usableCpuShare = 0.85;
 /// Callers value an answer until this multiple of the objective, at a fifth.
 constexpr int usefulObjectives = 3;
-/// Longest time from an offer until another VM has returned it unstarted: its limit of 100 ms, its
-/// check every 20 ms, and the way. Without this reserve, an offer that returns too late would end
-/// in a break-off although nothing has run.
-constexpr Duration offerReturnTime = std::chrono::milliseconds{130};
 
 Duration scaled(Duration time, double factor)
 {
@@ -76,30 +53,17 @@
     return factors;
 }
 
-CoreWork FleetDispatcher::expectedWork(const FleetJob &job, std::size_t tasks) const
-{
-    return workOf(job, tasks, expectedRun(job));
-}
-
-CoreWork FleetDispatcher::queuedWork(TimePoint before) const
+Duration FleetDispatcher::shortestRun(const FleetJob &job, const RunFactors &factors)
 {
-    CoreWork sum = 0;
-    for (const auto &[number, job] : m_jobs) {
-        const Duration expected = expectedRun(job.spec);
-        if (job.waiting > 0 && job.objective - expected < before) {
-            sum += workOf(job.spec, job.waiting, expected);
-        }
-    }
-    return sum;
+    // Estimates may be too high. A job is refused for its estimate alone only if even a run of this
+    // share of the expected time would miss the deadline.
+    constexpr double minRunTimeFactor = 0.6;
+    return scaled(job.estimate, factors.fastest * minRunTimeFactor);
 }
 
-std::uint64_t FleetDispatcher::usableCpu(TimePoint now) const
+CoreWork FleetDispatcher::expectedWork(const FleetJob &job, std::size_t tasks) const
 {
-    std::uint64_t sum = m_sharedRoom.usableCpu();
-    for (const auto &[id, kept] : m_keptUpstreams) {
-        sum += mayPlaceOn(kept, now) ? kept.ledger.entry().capacity.cpu.value() : 0;
-    }
-    return sum;
+    return workOf(job, tasks, expectedRun(job));
 }
 
 std::size_t FleetDispatcher::placesFor(const FleetJob &job, Duration timeLeft, TimePoint now) const
@@ -135,24 +99,6 @@
     return std::min(job.objective, job.deadline - scaled(run, deadlineMarginFactor)) - run;
 }
 
-TimePoint FleetDispatcher::firstStartLimitOf(const Job &job, TimePoint now) const
-{
-    if (!m_queueProfiles.hasSeveralPriorities(job.spec.service, now)) {
-        return firstStartLimit(now, job.deadline);
-    }
-    return job.deadline - scaled(fastestRun(job.spec), minRunTimeFactor);
-}
-
-bool FleetDispatcher::mayOffer(const Job &job, TimePoint now) const
-{
-    if (job.hasStarted) {
-        return true;
-    }
-    // A job past its first start limit is due to be turned away, which an open offer would prevent.
-    const TimePoint latest = job.deadline - scaled(fastestRun(job.spec), minRunTimeFactor);
-    return now < job.firstStartLimit && now + offerReturnTime < latest;
-}
-
 WaitingJob FleetDispatcher::waitingJobOf(const FleetJob &spec, std::size_t tasks,
                                          std::size_t waiting, TimePoint objective,
                                          TimePoint deadline, const RunFactors &factors) const
@@ -169,7 +115,7 @@
     job.latestStart = std::min(objective, deadline) - run;
     job.latestUsefulStart =
             std::min(job.arrived + usefulObjectives * spec.objective, deadline) - run;
-    job.latestPossibleStart = deadline - scaled(run, minRunTimeFactor);
+    job.latestPossibleStart = deadline - shortestRun(spec, factors);
     job.isNearlyDone = waiting * nearlyDoneDivisor <= tasks;
     return job;
 }
@@ -321,134 +267,4 @@
            now, actions);
 }
 
-std::optional<Duration> FleetDispatcher::refusalByOrder(const FleetJob &job, TimePoint now) const
-{
-    JobOrderView view{now, 0, 0, {}};
-    const RunFactors factors = runFactors();
-    for (const auto &[number, waiting] : m_jobs) {
-        if (waiting.waiting > 0 && waiting.spec.service == job.service) {
-            view.jobs.push_back(waitingJobOf(number, waiting, factors));
-        }
-    }
-    const JobNumber number{m_nextJob};
-    view.jobs.push_back(waitingJobOf(job, job.taskCount, job.taskCount, now + job.objective,
-                                     now + job.deadline - m_options.answerMargin, factors));
-    view.jobs.back().number = number;
-    setRates(view, job.service, now);
-    if (view.rate <= 0) {
-        return std::nullopt;
-    }
-    const JobOrder order = orderWaitingJobs(view);
-    const auto it = std::ranges::find(order.hopeless, number, &HopelessJob::number);
-    if (it == order.hopeless.end()) {
-        return std::nullopt;
-    }
-    return it->drainTime;
-}
-
-std::optional<JobTurnedAway> FleetDispatcher::checkAdmission(const FleetJob &job,
-                                                             TimePoint now) const
-{
-    const auto refusal = [&](TurnAwayReason reason) {
-        return JobTurnedAway{reason, retryAfterFor(reason, job.id)};
-    };
-    if (m_stopAt && now > *m_stopAt - stoppingReserve) {
-        return refusal(TurnAwayReason::Stopping);
-    }
-    if (m_pausedAt && now - *m_pausedAt < pauseBacklogTime) {
-        return refusal(TurnAwayReason::Paused);
-    }
-    if (m_jobs.size() >= m_options.maxOpenJobs) {
-        return refusal(TurnAwayReason::Overload);
-    }
-    bool isServed = false;
-    bool fits = false;
-    for (const auto &[id, listed] : m_listedUpstreams) {
-        if (fits) {
-            break;
-        }
-        const bool serves = listed.entry.service == job.service;
-        isServed = isServed || serves;
-        fits = fits
-               || (serves && listed.entry.capacity.covers(job.need) && hasLabel(listed.entry, job));
-    }
-    if (!isServed) {
-        return refusal(TurnAwayReason::NoUpstreams);
-    }
-    if (!fits) {
-        return refusal(TurnAwayReason::NothingFits);
-    }
-    const Duration expected = expectedRun(job);
-    AdmissionInputs view;
-    view.usableCpu = usableCpu(now);
-    // dispatch() found no use of the room that is free now for any waiting job.
-    view.fitsNow = placesFor(job, job.deadline, now) >= job.taskCount;
-    view.minRunTime = scaled(fastestRun(job), minRunTimeFactor);
-    view.isStarting = !isMembershipSettled(now) || now - *m_startedAt < startupTime;
-    view.untilObjective = job.objective;
-    view.untilDeadline = job.deadline - m_options.answerMargin;
-    const CoreWork queued = queuedWork(TimePoint::max()) + m_sharedRoom.queuedWork();
-    const bool usesOrder = queued > 0 && m_queueProfiles.hasSeveralPriorities(job.service, now);
-    if (!usesOrder) {
-        view.jobWork = workOf(job, job.taskCount, expected);
-        view.queuedWorkAhead =
-                queuedWork(now + job.objective - expected) + m_sharedRoom.queuedWork();
-    }
-    auto drainTime = refusalRetryAfter(view);
-    if (!drainTime && usesOrder && !view.fitsNow) {
-        drainTime = refusalByOrder(job, now);
-    }
-    if (drainTime) {
-        const auto reason =
-                view.usableCpu == 0 ? TurnAwayReason::NoUpstreams : TurnAwayReason::Overload;
-        return JobTurnedAway{reason, spreadRetryAfter(*drainTime, job.id)};
-    }
-    return std::nullopt;
-}
-
-Duration FleetDispatcher::retryAfterFor(TurnAwayReason reason, const JobId &id)
-{
-    switch (reason) {
-    case TurnAwayReason::Stopping:
-        return stoppingRetryAfter;
-    case TurnAwayReason::Paused:
-        return pausedRetryAfter;
-    case TurnAwayReason::NothingFits:
-        return nothingFitsRetryAfter;
-    default:
-        return spreadRetryAfter(noUpstreamsRetryAfter, id);
-    }
-}
-
-void FleetDispatcher::expireJobs(TimePoint now, FleetActions &actions)
-{
-    std::vector<JobNumber> missingDeadline;
-    std::vector<JobNumber> unstarted;
-    const RunFactors factors = runFactors();
-    for (const auto &[number, job] : m_jobs) {
-        const Duration shortest =
-                job.waiting > 0
-                        ? scaled(scaled(job.spec.estimate, factors.fastest), minRunTimeFactor)
-                        : Duration{};
-        if (now + shortest >= job.deadline) {
-            missingDeadline.push_back(number);
-        } else if (job.isUnstarted() && now >= job.firstStartLimit) {
-            unstarted.push_back(number);
-        }
-    }
-    for (const JobNumber it : missingDeadline) {
-        abortJob(it, TurnAwayReason::DeadlinePassed, BreakOffReason::DeadlinePassed, now, actions);
-    }
-    for (const JobNumber it : unstarted) {
-        abortJob(it, TurnAwayReason::WaitedTooLong, BreakOffReason::DeadlinePassed, now, actions);
-    }
-    if (!m_stopAt || now < *m_stopAt) {
-        return;
-    }
-    while (!m_jobs.empty()) {
-        abortJob(m_jobs.begin()->first, TurnAwayReason::Stopping, BreakOffReason::Stopping, now,
-                 actions);
-    }
-}
-
 } // namespace rattandock::fleet
