Dispatch after a change of the evacuated zones

Cause: dispatch() runs only when something may have changed, and reads of evacuations were not counted. Seen in FleetDispatcherEvacuationTest/startsNothingOnAnUpstreamThatItTakesOver after the merge.

--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -14,6 +14,9 @@
 {
     return std::holds_alternative<UpstreamListRead>(event)
            || std::holds_alternative<UpstreamListReadFailed>(event)
+           || std::holds_alternative<EvacuationsRead>(event)
+           || std::holds_alternative<EvacuationsReadFailed>(event)
+           || std::holds_alternative<EvacuationStateReceived>(event)
            || std::holds_alternative<RunReportReceived>(event)
            || std::holds_alternative<PeerLinkChanged>(event)
            || std::holds_alternative<PeerCapacityReported>(event);
