Move the handling of offers to its own file

The handlers of offers were spread over the files on jobs, runs and the dispatcher itself. Load sharing changes them together.

Only moves code; the body of PeerLinkChanged that ends the offers of a lost link becomes endOffersOf().

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -232,8 +232,6 @@
     /// Returns the largest run time, in percent of the estimate, with which an upstream can still
     /// end a task of the job within the time left.
     std::uint32_t maxUsefulRunTimePercent(const FleetJob &job, Duration left) const;
-    /// Offers waiting tasks to other VMs that have reported free room.
-    void offerWaitingTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
     /// Returns the latest time at which the job's tasks can start and still be expected to end in
     /// time.
     TimePoint latestStartOf(const Job &job) const;
@@ -244,6 +242,12 @@
     /// Returns the expected run time of one task on the fastest kind of upstream.
     Duration fastestRun(const FleetJob &job) const;
 
+    // Offers (fleet_dispatcher_offers.cpp).
+    /// Offers waiting tasks to other VMs that have reported free room.
+    void offerWaitingTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    /// Ends the jobs of which tasks were offered to a VM, or by it, after its link was lost.
+    void endOffersOf(const VmId &vm, TimePoint now, FleetActions &actions);
+
     // Jobs (fleet_dispatcher_jobs.cpp).
     JobNumber addJob(FleetJob spec, Origin origin, std::vector<std::uint32_t> indices,
                      std::uint32_t firstRun, TimePoint now);
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -141,30 +141,7 @@
     }
     m_linkedVms.erase(event.vm);
     m_sharedRoom.remove(event.vm);
-    std::vector<JobNumber> jobsOfferedToPeer;
-    std::erase_if(m_offers, [&](const auto &it) {
-        if (it.second.vm == event.vm) {
-            jobsOfferedToPeer.push_back(it.second.job);
-            if (const auto job = m_jobs.find(it.second.job); job != m_jobs.end()) {
-                actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "link-down",
-                                                    job->second.spec.id, event.vm.value()});
-            }
-        }
-        return it.second.vm == event.vm;
-    });
-    for (const JobNumber it : jobsOfferedToPeer) {
-        abortJob(it, TurnAwayReason::Overload, BreakOffReason::PeerLost, now, actions);
-    }
-    std::vector<JobNumber> jobsOfferedByPeer;
-    for (const auto &[offer, job] : m_jobsByOffer) {
-        if (offer.first == event.vm) {
-            jobsOfferedByPeer.push_back(job);
-        }
-    }
-    // The peer ends these jobs on its side, and their callers may resubmit them under the same id.
-    for (const JobNumber it : jobsOfferedByPeer) {
-        endJob(it, JobBrokenOff{BreakOffReason::PeerLost}, now, actions);
-    }
+    endOffersOf(event.vm, now, actions);
 }
 
 void FleetDispatcher::handleEvent(const PeerCapacityReported &event, TimePoint /*now*/,
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -182,48 +182,6 @@
     return static_cast<std::uint32_t>(std::clamp(percent, 0.0, 1e6));
 }
 
-void FleetDispatcher::offerWaitingTasks(JobNumber number, Job &job, TimePoint now,
-                                        FleetActions &actions)
-{
-    std::vector<std::uint32_t> waiting;
-    for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
-        if (job.tasks[n].state == TaskState::Waiting && job.tasks[n].notBefore <= now) {
-            waiting.push_back(n);
-        }
-    }
-    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job.spec, job.deadline - now);
-    std::size_t next = 0;
-    while (next < waiting.size()) {
-        const auto share =
-                m_sharedRoom.reserve(job.spec.need.cpu, waiting.size() - next, maxPercent);
-        if (!share) {
-            return;
-        }
-        TaskOffer offer{m_nextOffer++, job.spec, {}, 1};
-        // Adds the answer margin, as the receiver subtracts it again and would otherwise abort the
-        // job before this VM does.
-        offer.job.deadline = job.deadline - now + m_options.answerMargin;
-        offer.job.objective = job.objective - now;
-        Offer &record = m_offers[offer.number];
-        record.vm = share->vm;
-        record.job = number;
-        for (std::size_t n = 0; n < share->tasks; ++n) {
-            const std::uint32_t index = waiting[next++];
-            Task &task = job.tasks[index];
-            task.state = TaskState::Offered;
-            offer.firstRun = std::max(offer.firstRun, task.nextRun);
-            offer.tasks.push_back(job.indices[index]);
-            record.tasks.push_back(index);
-        }
-        job.waiting -= share->tasks;
-        ++job.openOffers;
-        actions.emplace_back(
-                FleetLogRecord{FleetLogRecordKind::TasksOffered, "no-room-here", job.spec.id,
-                               share->vm.value() + ", tasks " + std::to_string(share->tasks)});
-        actions.emplace_back(SendToVm{share->vm, std::move(offer)});
-    }
-}
-
 void FleetDispatcher::requeueTask(Job &job, Task &task, TimePoint notBefore)
 {
     task.state = TaskState::Waiting;
