Choose the peer for offers by the power of two choices

All VMs that received the same report chose the peer with most free room, and 214 offers came back unused within 2.5 s. Two peers are now drawn in proportion to their room, by a hash of the job id, the offer number and the VM's name, and the second is taken only if it has clearly more. A peer that returned tasks is avoided until its next report.

--- a/include/rattandock/fleet/sharing.hpp
+++ b/include/rattandock/fleet/sharing.hpp
@@ -7,17 +7,26 @@
 
 #include "rattandock/base/ids.hpp"
 #include "rattandock/base/time.hpp"
+#include "rattandock/fleet/admission.hpp"
 #include "rattandock/fleet/fleet_message.hpp"
 #include "rattandock/fleet/resources.hpp"
 
 namespace rattandock::fleet {
 
+/// Returns a number from which PeerRoom derives its choices for one offer. It is the same on every
+/// run for the same input and differs between VMs. Thread safety: any thread.
+std::uint64_t offerSeed(const VmId &self, const JobId &job, std::uint64_t offer);
+
 /// Free capacity of other VMs: their last reports, minus the tasks offered to them since.
 ///
 /// Load pattern: the platform distributes connections unevenly, and jobs of up to 32 tasks arrive
-/// at VMs that hold the leases of a seventh of the upstreams. Tasks that do not fit on this VM's
-/// own upstreams are offered to the VM with the most free capacity; VMs of the same availability
-/// zone take precedence. Thread safety: none.
+/// at VMs that hold the leases of a seventh of the upstreams. About 18 VMs receive the same report
+/// and must not all offer their tasks to the same VM. A peer is therefore chosen by the power of
+/// two choices: two peers are drawn with probabilities proportional to their free capacity, and the
+/// one with clearly more of it is taken, else the first. VMs of the own availability zone take
+/// precedence while their free capacity is comparable with that of the others. If no peer has free
+/// capacity, tasks of a VM with few upstreams go to a peer with a shorter queue. Thread safety:
+/// none.
 class PeerRoom
 {
 public:
@@ -27,12 +36,14 @@
     {
     }
 
-    /// Replaces the report of a peer.
-    void update(const VmId &vm, const ZoneId &zone, const CapacityReport &room);
+    /// Replaces the report of a peer. `takesQueuedOffers`: whether the peer's build knows
+    /// QueuedTaskOffer.
+    void update(const VmId &vm, const ZoneId &zone, const CapacityReport &room,
+                bool takesQueuedOffers = false);
     /// Removes a peer, for example when its link goes down.
     void remove(const VmId &vm) { m_peers.erase(vm); }
-    /// Discards the free capacity of a peer until its next report. Used when the peer did
-    /// not run the tasks that it was offered.
+    /// Excludes a peer from all choices until its next report. Used when the peer returned tasks
+    /// that it was offered.
     void markFull(const VmId &vm);
 
     /// Returns the least time percent of all upstreams of the peers, or 0 if there are none.
@@ -53,16 +64,54 @@
     };
     /// Chooses a peer for up to `count` tasks and reserves capacity for them. Returns
     /// `std::nullopt` if no peer has free capacity on an upstream whose time percent is at most
-    /// `maxPercent`.
-    std::optional<Reservation> reserve(MilliCores cpu, std::size_t count, std::uint32_t maxPercent);
+    /// `maxPercent`. `seed` determines the choice among several peers, see offerSeed().
+    std::optional<Reservation> reserve(MilliCores cpu, std::size_t count, std::uint32_t maxPercent,
+                                       std::uint64_t seed = 0);
+
+    /// Tasks that wait at this VM and could wait at a peer instead.
+    struct WaitingTasks
+    {
+        std::size_t count = 0;
+        /// Expected work of one task.
+        CoreWork taskWork = 0;
+        /// Only peers with an upstream of at most this time percent are considered.
+        std::uint32_t maxPercent = 0;
+        /// Expected wait at this VM.
+        Duration ownWait{};
+        /// Longest wait at the peer after which the tasks can still be placed elsewhere.
+        Duration maxWait{};
+    };
+    /// Chooses a peer whose expected wait, including all of the tasks, is shorter than this VM's by
+    /// a margin, and adds the work of the tasks to that peer's queue until its next report. Returns
+    /// `std::nullopt` if there is no such peer.
+    std::optional<Reservation> reserveQueue(const WaitingTasks &tasks, std::uint64_t seed);
 
 private:
     struct Peer
     {
         ZoneId zone;
         CapacityReport room;
+        bool takesQueuedOffers = false;
+        /// Set by markFull() until the next report.
+        bool isExcluded = false;
+        /// Largest element of `room.free`, in thousandths of a core. Avoids a search of the list
+        /// when no task fits.
+        std::uint32_t largestFree = 0;
+    };
+    /// A peer that can take `tasks` tasks.
+    struct Candidate
+    {
+        const VmId *vm = nullptr;
+        std::size_t tasks = 0;
+        bool isInOwnZone = false;
     };
     static std::size_t fittingTasks(const Peer &peer, MilliCores cpu, std::uint32_t maxPercent);
+    /// Returns how many tasks of this work the peer's queue can take while its wait stays shorter
+    /// by the margin. May exceed `tasks.count`.
+    static std::size_t queueableTasks(const Peer &peer, const WaitingTasks &tasks);
+    /// Returns the chosen element of `candidates`, or `std::nullopt` if there is none. Each
+    /// candidate takes at least one task.
+    static std::optional<Candidate> choose(std::vector<Candidate> candidates, std::uint64_t seed);
 
     ZoneId m_zone;
     std::map<VmId, Peer> m_peers;
