Refuse jobs truthfully whose starts were all refused by upstreams

A job counted as started once a start order was sent, so it ended in 504, and an offer in GivenUp, although upstreams had refused each start. The job now counts as not started again if all its starts were refused with a result that rules out that they were executed. After no answer, another incarnation or an old run number it still counts as started.

FleetOffersTest/refusesAJobWhoseStartsWereAllRefused failed before.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -85,6 +85,8 @@
         UpstreamId upstream;
         /// Number of the next run of this task.
         std::uint32_t nextRun = 1;
+        /// Run numbers that were used for starts that were certainly not executed, or passed over.
+        std::uint32_t unusedRuns = 0;
         /// Runs that ended in failure.
         std::uint32_t failures = 0;
         /// Expected run time of the latest run.
@@ -124,6 +126,10 @@
         unsigned overdueStops = 0;
         /// True if a task was started here or may have been started by another VM.
         bool hasStarted = false;
+        /// True if another VM may have started a task.
+        bool hasStartedElsewhere = false;
+        /// Number of the first run of each task.
+        std::uint32_t firstRun = 1;
         /// Offers of this job's tasks to other VMs that have not ended.
         std::size_t openOffers = 0;
         /// True once its open offers were withdrawn because its time is nearly over. No further
@@ -225,6 +231,9 @@
     /// Requeues a task whose start the upstream refused, or ends the job if it was rejected.
     void handleRunNotStarted(const UpstreamId &upstream, const RunNeverStarted &run, TimePoint now,
                              FleetActions &actions);
+    /// Resets Job::hasStarted if all starts were refused, so that the job can be refused
+    /// truthfully.
+    static void forgetRefusedStart(Job &job, Task &task, OrderResult reason);
     void completeTask(JobNumber number, Job &job, Task &task, FleetActions &actions);
     void requeueTask(Job &job, Task &task, TimePoint notBefore);
     /// Reports overdue runs to the upstream watch and restarts those that can still end in time.
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -197,6 +197,7 @@
     const JobNumber number{m_nextJob++};
     Job &job = m_jobs[number];
     job.origin = std::move(origin);
+    job.firstRun = firstRun;
     job.waiting = indices.size();
     job.tasks.resize(indices.size());
     for (Task &it : job.tasks) {
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -177,7 +177,10 @@
     }
     Job &job = found->second;
     --job.openOffers;
-    job.hasStarted = job.hasStarted || event.end.result != OfferResult::NotRun;
+    if (event.end.result != OfferResult::NotRun) {
+        job.hasStarted = true;
+        job.hasStartedElsewhere = true;
+    }
     switch (event.end.result) {
     case OfferResult::Done:
         for (const std::uint32_t index : offer.tasks) {
@@ -199,6 +202,7 @@
         }
         for (const std::uint32_t index : offer.tasks) {
             ++job.tasks[index].nextRun;
+            ++job.tasks[index].unusedRuns;
             requeueTask(job, job.tasks[index], now);
         }
         actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "not-run", job.spec.id,
@@ -233,6 +237,7 @@
     });
     // Single tasks are returned only after others of the offer were started.
     job.hasStarted = true;
+    job.hasStartedElsewhere = true;
     m_sharedRoom.markFull(event.from);
     actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "tasks-returned",
                                         job.spec.id,
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -301,6 +301,25 @@
     // Prevents a busy loop of starts on an upstream that refuses each of them at once.
     constexpr Duration refusedStartDelay = std::chrono::milliseconds{5};
     requeueTask(job, task, now + refusedStartDelay);
+    forgetRefusedStart(job, task, run.reason);
+}
+
+void FleetDispatcher::forgetRefusedStart(Job &job, Task &task, OrderResult reason)
+{
+    // After other results, an earlier process of the upstream may have executed the start or
+    // another run of the task.
+    static constexpr std::array refusals{OrderResult::Fenced, OrderResult::Late,
+                                         OrderResult::NoRoom, OrderResult::Unhealthy,
+                                         OrderResult::NotSent};
+    if (std::ranges::find(refusals, reason) == refusals.end()) {
+        return;
+    }
+    ++task.unusedRuns;
+    const bool canHaveRun = std::ranges::any_of(job.tasks, [&](const Task &it) {
+        const bool isOver = it.state == TaskState::Done || it.state == TaskState::Returned;
+        return isOver || it.nextRun > job.firstRun + it.unusedRuns;
+    });
+    job.hasStarted = job.hasStartedElsewhere || canHaveRun;
 }
 
 void FleetDispatcher::handleOverdueRuns(TimePoint now, FleetActions &actions)
--- a/src/rattandock/fleet/fleet_offers_test.cpp
+++ b/src/rattandock/fleet/fleet_offers_test.cpp
@@ -77,10 +77,11 @@
     void step()
     {
         for (const StartOrder &it : std::exchange(started, {})) {
-            active.push_back({it.name, it.number});
+            if (startResult == OrderResult::Done) {
+                active.push_back({it.name, it.number});
+            }
             starts.push_back(it);
-            send(StartOrderCompleted{upstream, it.name, it.number, OrderResult::Done,
-                                     std::nullopt});
+            send(StartOrderCompleted{upstream, it.name, it.number, startResult, std::nullopt});
         }
         if (isPollPending) {
             answerPoll();
@@ -199,6 +200,8 @@
     /// Start orders that were not confirmed yet, and those that were.
     std::vector<StartOrder> started;
     std::vector<StartOrder> starts;
+    /// What the upstream answers to start orders.
+    OrderResult startResult = OrderResult::Done;
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended;
     std::uint64_t lastEnd = 0;
@@ -597,6 +600,42 @@
     BOOST_TEST(report.free.back().cpu == 32'032);
 }
 
+// Guards against a 504 for a job, and an offer that is given up, although the upstream refused all
+// starts.
+BOOST_AUTO_TEST_CASE(refusesAJobWhoseStartsWereAllRefused)
+{
+    startResult = OrderResult::NoRoom;
+    submit(1, job("own", 2, 300ms));
+    send(OfferReceived{b, TaskOffer{5, job("offered", 1, 300ms), {0}, 1}});
+    pass(200ms);
+    const auto ends = taken<TaskOfferEnded>();
+    BOOST_REQUIRE(ends.size() == 1);
+    BOOST_TEST((ends[0].second.result == OfferResult::NotRun));
+    pass(1500ms);
+    BOOST_TEST(starts.size() > 2);
+    const auto end = answerOf("own");
+    BOOST_REQUIRE(end);
+    BOOST_TEST(std::holds_alternative<JobTurnedAway>(*end));
+}
+
+// Guards against a refusal of a job of which one start was refused and another was executed.
+BOOST_AUTO_TEST_CASE(breaksOffAJobOfWhichOneStartWasExecuted)
+{
+    submit(1, job("own", 1, 300ms));
+    step();
+    submit(2, job("partly", 2, 300ms));
+    step();
+    BOOST_REQUIRE(active.size() == 2);
+    // The run ends in failure, and all further starts are refused.
+    startResult = OrderResult::NoRoom;
+    ended.push_back({EndNumber{++lastEnd}, active[1].name, active[1].number, RunEndKind::Failed});
+    active.pop_back();
+    pass(1600ms);
+    const auto end = answerOf("partly");
+    BOOST_REQUIRE(end);
+    BOOST_TEST(!std::holds_alternative<JobTurnedAway>(*end));
+}
+
 // Guards against a chain of offers, in which tasks wander and no VM answers for them.
 BOOST_AUTO_TEST_CASE(offersTasksOverOneHopOnly)
 {
