--- a/src/rattandock/fleet/fleet_offers_test.cpp
+++ b/src/rattandock/fleet/fleet_offers_test.cpp
@@ -394,6 +394,42 @@
     BOOST_TEST(!answerOf("offered"));
 }
 
+// Guards against a start of a task here, after which the job could not be refused any more, while
+// the answer to the withdrawal of the other tasks is on its way.
+BOOST_AUTO_TEST_CASE(startsNothingOfAWithdrawnJob)
+{
+    // As long as its runs will take, so that expected run times do not change.
+    occupy(1400ms);
+    report(b, {{64'000, 100}});
+    submit(2, job("offered", 3, 15ms));
+    const auto offers = taken<TaskOffer>();
+    BOOST_REQUIRE(offers.size() == 1);
+    BOOST_TEST(offers[0].second.tasks.size() == 2);
+    report(b, {});
+    // One task waits here. The offer is withdrawn 49 ms before the deadline, when the task could
+    // still be started.
+    pass(1425ms);
+    bool isWithdrawn = false;
+    for (int n = 0; n < 6 && !isWithdrawn; ++n) {
+        pass(5ms);
+        isWithdrawn = !taken<TaskOfferWithdrawn>().empty();
+    }
+    BOOST_REQUIRE(isWithdrawn);
+    for (const ActiveRun &it : std::exchange(active, {})) {
+        ended.push_back({EndNumber{++lastEnd}, it.name, it.number, RunEndKind::Done});
+    }
+    pass(5ms);
+    BOOST_TEST(answerOf("own").has_value());
+    pass(5ms);
+    BOOST_TEST(starts.empty());
+    send(OfferEnded{b, {offers[0].second.number, OfferResult::NotRun}});
+    const auto end = answerOf("offered");
+    BOOST_REQUIRE(end);
+    BOOST_TEST(std::holds_alternative<JobTurnedAway>(*end));
+    pass(50ms);
+    BOOST_TEST(starts.empty());
+}
+
 // Guards against a refusal of a job of which a task was started.
 BOOST_AUTO_TEST_CASE(breaksOffAJobWhoseWithdrawnOfferWasStarted)
 {
