--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -94,7 +94,9 @@
 struct SendToVm
 {
     VmId vm;
-    std::variant<TaskOffer, TaskOfferEnded, TaskOfferWithdrawn, EvacuationState> message;
+    std::variant<TaskOffer, TaskOfferEnded, TaskOfferWithdrawn, EvacuationState, QueuedTaskOffer,
+                 TasksReturned>
+            message;
 };
 
 /// Writes keeper rows of one zone if the stored versions still match those in `rows`. A
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -103,7 +103,8 @@
     const UpstreamEntry *findKeptUpstream(const UpstreamId &id) const;
 
 private:
-    enum class TaskState : std::uint8_t { Waiting, Running, Offered, Done };
+    /// Returned: given back to the VM that offered it.
+    enum class TaskState : std::uint8_t { Waiting, Running, Offered, Done, Returned };
     struct Task
     {
         TaskState state = TaskState::Waiting;
@@ -111,6 +112,8 @@
         UpstreamId upstream;
         /// Number of the next run of this task.
         std::uint32_t nextRun = 1;
+        /// Run numbers that were used for starts that were certainly not executed, or passed over.
+        std::uint32_t unusedRuns = 0;
         /// Runs that ended in failure.
         std::uint32_t failures = 0;
         /// Expected run time of the latest run.
@@ -138,7 +141,7 @@
         std::vector<Task> tasks;
         /// Tasks in state Waiting.
         std::size_t waiting = 0;
-        /// Tasks in state Done.
+        /// Tasks in state Done or Returned.
         std::size_t done = 0;
         /// A later answer counts as late.
         TimePoint objective;
@@ -147,18 +150,19 @@
         TimePoint deadline;
         /// The job is turned away if no task has started by then.
         TimePoint firstStartLimit;
-        /// While the job is unstarted, its tasks are offered to other VMs only before this time, so
-        /// that an offer that comes back unstarted leaves time for a refusal.
-        TimePoint offerLimit;
         /// Number of runs that were stopped as overdue.
         unsigned overdueStops = 0;
         /// True if a task was started here or may have been started by another VM.
         bool hasStarted = false;
-        /// True if a run of a task has ended here or at another VM. Unlike hasStarted it stays
-        /// unset while all start orders were refused.
-        bool mayHaveRun = false;
+        /// True if another VM may have started a task.
+        bool hasStartedElsewhere = false;
+        /// Number of the first run of each task.
+        std::uint32_t firstRun = 1;
         /// Offers of this job's tasks to other VMs that have not ended.
         std::size_t openOffers = 0;
+        /// True once its open offers were withdrawn because its time is nearly over. No further
+        /// task is started or offered, and the answers decide whether it may have run.
+        bool isWithdrawn = false;
 
         /// Returns true if no task can have started, here or at another VM.
         bool isUnstarted() const { return !hasStarted && openOffers == 0; }
@@ -170,6 +174,8 @@
         JobNumber job;
         /// Indices in Job::tasks.
         std::vector<std::uint32_t> tasks;
+        /// Number of the first run of each task at the other VM.
+        std::uint32_t firstRun = 1;
     };
     /// An upstream on which this VM starts tasks.
     struct KeptUpstream
@@ -208,6 +214,7 @@
     void handleEvent(const OfferEnded &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferWithdrawn &event, TimePoint now, FleetActions &actions);
     void handleEvent(const EvacuationStateReceived &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const OfferedTasksReturned &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamProbed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const StopRequested &event, TimePoint now, FleetActions &actions);
     void handleEvent(const ProcessPaused &event, TimePoint now, FleetActions &actions);
@@ -269,13 +276,17 @@
     /// Requeues a task whose start the upstream refused, or ends the job if it was rejected.
     void handleRunNotStarted(const UpstreamId &upstream, const RunNeverStarted &run, TimePoint now,
                              FleetActions &actions);
+    /// Resets Job::hasStarted if all starts were refused, so that the job can be refused
+    /// truthfully.
+    static void forgetRefusedStart(Job &job, Task &task, OrderResult reason);
     void completeTask(JobNumber number, Job &job, Task &task, FleetActions &actions);
     void requeueTask(Job &job, Task &task, TimePoint notBefore);
     /// Reports overdue runs to the upstream watch and restarts those that can still end in time.
     void handleOverdueRuns(TimePoint now, FleetActions &actions);
     /// Starts the waiting tasks of one job that fit on kept upstreams if `canStartHere` is set, and
-    /// offers the rest.
-    void dispatchJob(JobNumber number, Job &job, bool canStartHere, TimePoint now,
+    /// offers the rest. `ownWait`: expected time until this VM has worked off the jobs that go
+    /// before this one.
+    void dispatchJob(JobNumber number, Job &job, bool canStartHere, Duration ownWait, TimePoint now,
                      FleetActions &actions);
     /// Starts one task on a kept upstream. Returns false if no upstream is suitable.
     bool startOnKeptUpstream(JobNumber number, Job &job, std::size_t index, TimePoint now,
@@ -292,13 +303,36 @@
     /// useful for a task with these limits.
     static std::uint32_t maxUsefulRunTimePercent(const FleetJob &job,
                                                  const PlacementLimits &limits);
-    /// Offers waiting tasks to other VMs that have reported free room.
-    void offerWaitingTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
     /// Returns the expected run time of one task on an average upstream.
     Duration expectedRun(const FleetJob &job) const;
     /// Returns the expected run time of one task on the fastest kind of upstream.
     Duration fastestRun(const FleetJob &job) const;
 
+    // Offers (fleet_dispatcher_offers.cpp).
+    /// Offers waiting tasks to other VMs that have reported free room, else to VMs with a shorter
+    /// queue.
+    void offerWaitingTasks(JobNumber number, Job &job, Duration ownWait, TimePoint now,
+                           FleetActions &actions);
+    /// Sends one offer of the tasks at `indices`. `startWithin` is set if they may wait in the
+    /// receiver's queue.
+    void sendOffer(JobNumber number, Job &job, const VmId &vm, std::vector<std::uint32_t> indices,
+                   std::optional<Duration> startWithin, TimePoint now, FleetActions &actions);
+    /// Returns the time until which tasks can be offered or started elsewhere, so that a job none
+    /// of whose tasks was started can still be refused truthfully.
+    TimePoint lastReturnOf(const Job &job) const;
+    /// Returns to the offering VMs the tasks that were not started in time, of offers of which
+    /// other tasks were.
+    void returnUnstartedTasks(TimePoint now, FleetActions &actions);
+    /// Withdraws the offers of jobs that are about to be answered although nothing is known to have
+    /// started, so that they can be refused truthfully.
+    void withdrawUnansweredOffers(TimePoint now, FleetActions &actions);
+    /// Refuses a job whose withdrawn offers have all come back unstarted.
+    void endWithdrawnJob(JobNumber number, TimePoint now, FleetActions &actions);
+    /// Returns true if the VM knows the messages of this build.
+    bool knowsReturns(const VmId &vm) const;
+    /// Ends the jobs of which tasks were offered to a VM, or by it, after its link was lost.
+    void endOffersOf(const VmId &vm, TimePoint now, FleetActions &actions);
+
     // Jobs (fleet_dispatcher_jobs.cpp).
     JobNumber addJob(FleetJob spec, Origin origin, std::vector<std::uint32_t> indices,
                      std::uint32_t firstRun, TimePoint now);
@@ -353,11 +387,9 @@
     /// Returns the latest time at which the job's tasks can start and still be expected to end in
     /// time, if no priorities compete.
     TimePoint latestStartOf(const Job &job, const RunFactors &factors) const;
-    /// Returns true if waiting tasks of the job may be offered to other VMs.
-    static bool mayOffer(const Job &job, TimePoint now)
-    {
-        return job.hasStarted || now < job.offerLimit;
-    }
+    /// Returns true if waiting tasks of the job may be offered to other VMs. An unstarted job is
+    /// offered only while a return of the offer leaves time for a refusal.
+    bool mayOffer(const Job &job, TimePoint now) const;
 
     // Admission (fleet_dispatcher_admission.cpp).
     /// Sets the times until which a new job may wait for its first start and be offered.
@@ -386,6 +418,8 @@
     std::size_t placesFor(const FleetJob &job, Duration timeLeft, TimePoint now) const;
     /// Returns the thousandths of a core on which tasks can run, here and at other VMs.
     std::uint64_t usableCpu(TimePoint now) const;
+    /// Returns the thousandths of a core of this VM's upstreams on which tasks can run.
+    std::uint64_t ownUsableCpu(TimePoint now) const;
 
     FleetOptions m_options;
     std::map<UpstreamId, ListedUpstream> m_listedUpstreams;
@@ -406,6 +440,8 @@
     std::set<VmId> m_staleLinks;
     /// When the last pause of this process was detected.
     std::optional<TimePoint> m_pausedAt;
+    /// Message revisions of the VMs with a link, as their heartbeats state them.
+    std::map<VmId, std::uint64_t> m_peerRevisions;
     PeerRoom m_sharedRoom;
     RunTimes m_runTimes;
     QueueProfiles m_queueProfiles;
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -148,6 +148,8 @@
     CapacityReport room;
     /// Incarnation of the sending process. Some tests leave it out.
     std::optional<Incarnation> incarnation = std::nullopt;
+    /// Revision of the messages that the VM knows, see fleetRevision.
+    std::uint64_t revision = 0;
 };
 
 /// Another VM asks this one to run some tasks of a job.
@@ -155,6 +157,8 @@
 {
     VmId from;
     TaskOffer offer;
+    /// Set if the tasks may wait in this VM's queue for so long.
+    std::optional<Duration> startWithin = std::nullopt;
 };
 
 /// Another VM answered an offer of this VM.
@@ -178,6 +182,13 @@
     TaskOfferWithdrawn withdrawal;
 };
 
+/// Another VM returned some tasks of an offer of this VM.
+struct OfferedTasksReturned
+{
+    VmId from;
+    TasksReturned returned;
+};
+
 /// A ProbeUpstream action ended.
 struct UpstreamProbed
 {
@@ -207,6 +218,6 @@
                      KeeperWriteCompleted, StartOrderCompleted, StopOrderCompleted,
                      RunReportReceived, RunReportFailed, PeerLinkChanged, PeerCapacityReported,
                      OfferReceived, OfferEnded, OfferWithdrawn, EvacuationStateReceived,
-                     UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
+                     OfferedTasksReturned, UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -201,8 +201,13 @@
     case 12:
         return fleet::UpstreamChanges{number(), number(), duration(), listOf(upstreamEntry),
                                       listOf([] { return UpstreamId{text()}; })};
-    default:
+    case 13:
         return fleet::EvacuationState{number(), listOf([] { return ZoneId{text()}; }), duration()};
+    case 14:
+        return fleet::QueuedTaskOffer{{number(), fleetJob(), listOf(shortNumber), shortNumber()},
+                                      duration()};
+    default:
+        return fleet::TasksReturned{number(), listOf(shortNumber), shortNumber()};
     }
 }
 
@@ -285,6 +290,18 @@
     return number == b.number;
 }
 
+bool same(const fleet::QueuedTaskOffer &a, const fleet::QueuedTaskOffer &b)
+{
+    const auto &[offer, startWithin] = a;
+    return same(offer, b.offer) && startWithin == b.startWithin;
+}
+
+bool same(const fleet::TasksReturned &a, const fleet::TasksReturned &b)
+{
+    const auto &[number, tasks, nextRun] = a;
+    return number == b.number && tasks == b.tasks && nextRun == b.nextRun;
+}
+
 bool same(const fleet::UpstreamChanges &a, const fleet::UpstreamChanges &b)
 {
     const auto &[after, version, age, present, removed] = a;
@@ -398,11 +415,11 @@
 // Guards against a header that is not checked.
 BOOST_AUTO_TEST_CASE(refusesAWrongHeader)
 {
+    constexpr char firstUnknownType = std::variant_size_v<core::PeerMessage> + 1;
     BOOST_TEST(refusalOf(changed(0, 'X')) == "wrong-magic");
     BOOST_TEST(refusalOf(changed(4, 3)) == "wrong-version");
     BOOST_TEST(refusalOf(changed(6, 0)) == "unknown-type");
-    constexpr auto firstUnknown = static_cast<char>(std::variant_size_v<core::PeerMessage> + 1);
-    BOOST_TEST(refusalOf(changed(6, firstUnknown)) == "unknown-type");
+    BOOST_TEST(refusalOf(changed(6, firstUnknownType)) == "unknown-type");
     BOOST_TEST(refusalOf(changed(7, 0)) == "wrong-origin");
     BOOST_TEST(refusalOf(changed(8, 0)) == "wrong-size");
     BOOST_TEST(refusalOf(delta + "x") == "wrong-size");
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -21,6 +21,10 @@
            || std::holds_alternative<PeerLinkChanged>(event)
            || std::holds_alternative<PeerCapacityReported>(event);
 }
+/// Maximum number of upstreams with free capacity in a heartbeat, the ones with most of it. A VM
+/// sends up to 100 heartbeats a second over all links, and 8 B for each upstream in each of them;
+/// receivers fill less than this before the next heartbeat.
+constexpr std::size_t maxReportedUpstreams = 8;
 
 } // namespace
 
@@ -42,6 +46,8 @@
     if (now >= m_nextHousekeeping) {
         m_nextHousekeeping = now + housekeepingInterval;
         m_isDispatchDue = true;
+        returnUnstartedTasks(now, actions);
+        withdrawUnansweredOffers(now, actions);
         expireJobs(now, actions);
         handleOverdueRuns(now, actions);
         expireUnlisted(now, actions);
@@ -114,6 +120,13 @@
             report.free.push_back({free, percent});
         }
     }
+    // Bounds the size of the heartbeat. Fast upstreams come first among those with equal room.
+    std::ranges::sort(report.free, [](const FreeCapacity &a, const FreeCapacity &b) {
+        return a.cpu != b.cpu ? a.cpu > b.cpu : a.runTimePercent < b.runTimePercent;
+    });
+    if (report.free.size() > maxReportedUpstreams) {
+        report.free.resize(maxReportedUpstreams);
+    }
     report.queuedWork = static_cast<std::uint64_t>(queuedWork(TimePoint::max()));
     return report;
 }
@@ -168,31 +181,8 @@
     }
     m_linkedVms.erase(event.vm);
     m_sharedRoom.remove(event.vm);
-    std::vector<JobNumber> jobsOfferedToPeer;
-    std::erase_if(m_offers, [&](const auto &it) {
-        if (it.second.vm == event.vm) {
-            jobsOfferedToPeer.push_back(it.second.job);
-            if (const auto job = m_jobs.find(it.second.job); job != m_jobs.end()) {
-                m_endingRuns.holdUntil(job->second.spec.id, now + runsEndAfterLoss());
-                actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "link-down",
-                                                    job->second.spec.id, event.vm.value()});
-            }
-        }
-        return it.second.vm == event.vm;
-    });
-    for (const JobNumber it : jobsOfferedToPeer) {
-        abortJob(it, TurnAwayReason::Overload, BreakOffReason::PeerLost, now, actions);
-    }
-    std::vector<JobNumber> jobsOfferedByPeer;
-    for (const auto &[offer, job] : m_jobsByOffer) {
-        if (offer.first == event.vm) {
-            jobsOfferedByPeer.push_back(job);
-        }
-    }
-    // The peer ends these jobs on its side, and their callers may resubmit them under the same id.
-    for (const JobNumber it : jobsOfferedByPeer) {
-        endJob(it, JobBrokenOff{BreakOffReason::PeerLost}, now, actions);
-    }
+    m_peerRevisions.erase(event.vm);
+    endOffersOf(event.vm, now, actions);
 }
 
 void FleetDispatcher::handleEvent(const PeerCapacityReported &event, TimePoint now,
@@ -202,10 +192,14 @@
         && m_members.recordHeartbeat(event.vm, *event.incarnation, event.draining)) {
         m_isAssignmentDue = true;
     }
-    if (event.draining || !m_linkedVms.contains(event.vm)) {
+    const bool isLinked = m_linkedVms.contains(event.vm);
+    if (isLinked) {
+        m_peerRevisions[event.vm] = event.revision;
+    }
+    if (event.draining || !isLinked) {
         m_sharedRoom.remove(event.vm);
     } else {
-        m_sharedRoom.update(event.vm, event.zone, event.room);
+        m_sharedRoom.update(event.vm, event.zone, event.room, knowsReturns(event.vm));
     }
     sendEvacuations(event.vm, now, actions);
 }
--- a/src/rattandock/fleet/fleet_dispatcher_admission.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_admission.cpp
@@ -23,10 +23,6 @@
 /// A stopping VM accepts jobs on open connections until this long before its stop limit, so that
 /// they can end in time.
 constexpr Duration stoppingReserve = std::chrono::milliseconds{2000};
-/// Longest time from an offer until another VM has returned it unstarted: its limit of 100 ms, its
-/// check every 20 ms, and the way. Without this reserve, an offer that returns too late would end
-/// in a break-off although nothing has run.
-constexpr Duration offerReturnTime = std::chrono::milliseconds{130};
 
 } // namespace
 
@@ -44,7 +40,12 @@
 
 std::uint64_t FleetDispatcher::usableCpu(TimePoint now) const
 {
-    std::uint64_t sum = m_sharedRoom.usableCpu();
+    return m_sharedRoom.usableCpu() + ownUsableCpu(now);
+}
+
+std::uint64_t FleetDispatcher::ownUsableCpu(TimePoint now) const
+{
+    std::uint64_t sum = 0;
     for (const auto &[id, kept] : m_keptUpstreams) {
         sum += mayPlaceOn(kept, now) ? kept.ledger.entry().capacity.cpu.value() : 0;
     }
@@ -59,7 +60,6 @@
     job.firstStartLimit = m_queueProfiles.hasSeveralPriorities(job.spec.service, now)
                                   ? latestUseful
                                   : firstStartLimit(now, job.deadline);
-    job.offerLimit = std::min(job.firstStartLimit, latestUseful - offerReturnTime);
 }
 
 std::optional<Duration> FleetDispatcher::refusalByOrder(const FleetJob &job, TimePoint now) const
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -82,6 +82,7 @@
     const JobNumber number{m_nextJob++};
     Job &job = m_jobs[number];
     job.origin = std::move(origin);
+    job.firstRun = firstRun;
     job.waiting = indices.size();
     job.tasks.resize(indices.size());
     for (Task &it : job.tasks) {
@@ -122,82 +123,6 @@
     m_isDispatchDue = true;
 }
 
-void FleetDispatcher::handleEvent(const OfferReceived &event, TimePoint now, FleetActions &actions)
-{
-    const TaskOffer &offer = event.offer;
-    const auto answer = [&](OfferResult result) {
-        actions.emplace_back(SendToVm{event.from, TaskOfferEnded{offer.number, result}});
-    };
-    if (m_stopAt || m_keptUpstreams.empty() || offer.tasks.empty()
-        || m_staleLinks.contains(event.from) || areKeptUpstreamsEvacuated()) {
-        return answer(OfferResult::NotRun);
-    }
-    FleetJob job = offer.job;
-    predictRunTime(job);
-    const JobNumber number = addJob(std::move(job), OfferOrigin{event.from, offer.number},
-                                    offer.tasks, offer.firstRun, now);
-    m_jobs.at(number).firstStartLimit = offeredStartLimit(now);
-    m_queueProfiles.recordOffer(offer.job, now);
-    m_jobsByOffer[{event.from, offer.number}] = number;
-}
-
-void FleetDispatcher::handleEvent(const OfferWithdrawn &event, TimePoint now, FleetActions &actions)
-{
-    const auto it = m_jobsByOffer.find({event.from, event.withdrawal.number});
-    if (it == m_jobsByOffer.end()) {
-        return;
-    }
-    const JobNumber number = it->second;
-    stopTasks(number, m_jobs.at(number), now, actions);
-    m_jobsByOffer.erase(it);
-    m_jobs.erase(number);
-    m_isDispatchDue = true;
-}
-
-void FleetDispatcher::handleEvent(const OfferEnded &event, TimePoint now, FleetActions &actions)
-{
-    const auto it = m_offers.find(event.end.number);
-    if (it == m_offers.end() || it->second.vm != event.from) {
-        return;
-    }
-    const Offer offer = std::move(it->second);
-    m_offers.erase(it);
-    const auto found = m_jobs.find(offer.job);
-    if (found == m_jobs.end()) {
-        return;
-    }
-    Job &job = found->second;
-    --job.openOffers;
-    job.mayHaveRun = job.mayHaveRun || event.end.result != OfferResult::NotRun;
-    job.hasStarted = job.hasStarted || job.mayHaveRun;
-    m_isDispatchDue = true;
-    switch (event.end.result) {
-    case OfferResult::Done:
-        for (const std::uint32_t index : offer.tasks) {
-            job.tasks[index].state = TaskState::Done;
-        }
-        job.done += offer.tasks.size();
-        if (job.done == job.tasks.size()) {
-            endJob(offer.job, JobCompleted{}, now, actions);
-        }
-        return;
-    case OfferResult::Failed:
-        return endJob(offer.job, JobFailed{}, now, actions);
-    case OfferResult::GivenUp:
-        return abortJob(offer.job, TurnAwayReason::DeadlinePassed, BreakOffReason::DeadlinePassed,
-                        now, actions);
-    case OfferResult::NotRun:
-        m_sharedRoom.markFull(event.from);
-        for (const std::uint32_t index : offer.tasks) {
-            ++job.tasks[index].nextRun;
-            requeueTask(job, job.tasks[index], now);
-        }
-        actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "not-run", job.spec.id,
-                                            event.from.value()});
-        return;
-    }
-}
-
 void FleetDispatcher::stopTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions)
 {
     std::size_t running = 0;
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "rattandock/fleet/fleet_dispatcher.hpp"
+#include "rattandock/fleet/wait_limit.hpp"
 
 namespace rattandock::fleet {
 
@@ -57,7 +58,6 @@
 {
     // Estimates may be too high. A job is refused for its estimate alone only if even a run of this
     // share of the expected time would miss the deadline.
-    constexpr double minRunTimeFactor = 0.6;
     return scaled(predictedRun(job), factors.fastest * minRunTimeFactor);
 }
 
@@ -243,10 +243,16 @@
         const auto it = largest.find(job.spec.service);
         return it != largest.end() && job.spec.need.cpu.value() <= it->second;
     };
+    const auto ownCpu = static_cast<double>(ownUsableCpu(now));
+    CoreWork workAhead = 0;
     for (const JobNumber number : round.order) {
         Job &job = m_jobs.at(number);
-        if (!m_endingRuns.mayExecute(job.spec.id, now)) {
-            dispatchJob(number, job, canStartHere(job), now, actions);
+        if (!m_endingRuns.mayExecute(job.spec.id, now) && !job.isWithdrawn) {
+            const Duration ownWait =
+                    ownCpu > 0 ? Duration{static_cast<Duration::rep>(workAhead / ownCpu)}
+                               : job.deadline - now;
+            dispatchJob(number, job, canStartHere(job), ownWait, now, actions);
+            workAhead += expectedWork(job.spec, job.waiting);
         }
     }
     for (const HopelessJob &it : round.hopeless) {
@@ -260,7 +266,7 @@
     Job &job = m_jobs.at(hopeless.number);
     const bool mayStart = !m_endingRuns.mayExecute(job.spec.id, now);
     if (mayStart && placesFor(job.spec, job.deadline - now, now) >= job.waiting) {
-        return dispatchJob(hopeless.number, job, canStartHere, now, actions);
+        return dispatchJob(hopeless.number, job, canStartHere, Duration{}, now, actions);
     }
     endJob(hopeless.number,
            JobTurnedAway{TurnAwayReason::Yielded,
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -50,8 +50,8 @@
     return scaled(predictedRun(job), others > 0 ? std::min(own, others) : own);
 }
 
-void FleetDispatcher::dispatchJob(JobNumber number, Job &job, bool canStartHere, TimePoint now,
-                                  FleetActions &actions)
+void FleetDispatcher::dispatchJob(JobNumber number, Job &job, bool canStartHere, Duration ownWait,
+                                  TimePoint now, FleetActions &actions)
 {
     for (std::size_t n = 0; canStartHere && n < job.tasks.size(); ++n) {
         const Task &task = job.tasks[n];
@@ -62,7 +62,7 @@
     }
     if (job.waiting > 0 && mayOffer(job, now)
         && std::holds_alternative<CallerRequestId>(job.origin)) {
-        offerWaitingTasks(number, job, now, actions);
+        offerWaitingTasks(number, job, ownWait, now, actions);
     }
 }
 
@@ -143,48 +143,6 @@
     return static_cast<std::uint32_t>(std::clamp(percent, 0.0, 1e6));
 }
 
-void FleetDispatcher::offerWaitingTasks(JobNumber number, Job &job, TimePoint now,
-                                        FleetActions &actions)
-{
-    std::vector<std::uint32_t> waiting;
-    for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
-        if (job.tasks[n].state == TaskState::Waiting && job.tasks[n].notBefore <= now) {
-            waiting.push_back(n);
-        }
-    }
-    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job.spec, placementLimitsOf(job, now));
-    std::size_t next = 0;
-    while (next < waiting.size()) {
-        const auto share =
-                m_sharedRoom.reserve(job.spec.need.cpu, waiting.size() - next, maxPercent);
-        if (!share) {
-            return;
-        }
-        TaskOffer offer{m_nextOffer++, job.spec, {}, 1};
-        // Adds the answer margin, as the receiver subtracts it again and would otherwise abort the
-        // job before this VM does.
-        offer.job.deadline = job.deadline - now + m_options.answerMargin;
-        offer.job.objective = job.objective - now;
-        Offer &record = m_offers[offer.number];
-        record.vm = share->vm;
-        record.job = number;
-        for (std::size_t n = 0; n < share->tasks; ++n) {
-            const std::uint32_t index = waiting[next++];
-            Task &task = job.tasks[index];
-            task.state = TaskState::Offered;
-            offer.firstRun = std::max(offer.firstRun, task.nextRun);
-            offer.tasks.push_back(job.indices[index]);
-            record.tasks.push_back(index);
-        }
-        job.waiting -= share->tasks;
-        ++job.openOffers;
-        actions.emplace_back(
-                FleetLogRecord{FleetLogRecordKind::TasksOffered, "no-room-here", job.spec.id,
-                               share->vm.value() + ", tasks " + std::to_string(share->tasks)});
-        actions.emplace_back(SendToVm{share->vm, std::move(offer)});
-    }
-}
-
 void FleetDispatcher::requeueTask(Job &job, Task &task, TimePoint notBefore)
 {
     task.state = TaskState::Waiting;
@@ -230,7 +188,6 @@
         return;
     }
     Job &job = found->second;
-    job.mayHaveRun = true;
     Task &task = job.tasks[over.task.task.value()];
     if (task.state != TaskState::Running) {
         return;
@@ -301,12 +258,25 @@
     // Prevents a busy loop of starts on an upstream that refuses each of them at once.
     constexpr Duration refusedStartDelay = std::chrono::milliseconds{5};
     requeueTask(job, task, now + refusedStartDelay);
-    // This run was not started, but after OldRun another one of the task was. If no task of the job
-    // has run, it may still be refused.
-    job.mayHaveRun = job.mayHaveRun || run.reason == OrderResult::OldRun;
-    job.hasStarted = job.mayHaveRun || std::ranges::any_of(job.tasks, [](const Task &it) {
-                         return it.state == TaskState::Running || it.state == TaskState::Done;
-                     });
+    forgetRefusedStart(job, task, run.reason);
+}
+
+void FleetDispatcher::forgetRefusedStart(Job &job, Task &task, OrderResult reason)
+{
+    // After other results, an earlier process of the upstream may have executed the start or
+    // another run of the task.
+    static constexpr std::array refusals{OrderResult::Fenced, OrderResult::Late,
+                                         OrderResult::NoRoom, OrderResult::Unhealthy,
+                                         OrderResult::NotSent};
+    if (std::ranges::find(refusals, reason) == refusals.end()) {
+        return;
+    }
+    ++task.unusedRuns;
+    const bool canHaveRun = std::ranges::any_of(job.tasks, [&](const Task &it) {
+        const bool isOver = it.state == TaskState::Done || it.state == TaskState::Returned;
+        return isOver || it.nextRun > job.firstRun + it.unusedRuns;
+    });
+    job.hasStarted = job.hasStartedElsewhere || canHaveRun;
 }
 
 void FleetDispatcher::handleOverdueRuns(TimePoint now, FleetActions &actions)
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -67,6 +67,8 @@
     double storeReject = 0;
     /// Share of answers of the store that take 100 to 650 ms.
     double storeSlow = 0;
+    /// If positive, all callers use one VM at a time, each for a third of this period.
+    Duration wavePeriod{};
 };
 
 /// Simulates a fleet of three VMs with real dispatchers, six upstreams, a store and callers that
--- a/src/rattandock/fleet/placement.cpp
+++ b/src/rattandock/fleet/placement.cpp
@@ -20,7 +20,7 @@
 constexpr Duration expectedWait = std::chrono::milliseconds{50};
 /// A run with a smaller chance to end before the deadline is not started: it would mostly take room
 /// from others in vain.
-constexpr double minChance = 0.05;
+constexpr double minChance = 0.2;
 /// Steps of the bisection of maxUsefulRunTime(); the result is exact to 1% of its range.
 constexpr int bisectionSteps = 8;
 
