Prefer slow upstreams that meet the objective again, and try long tasks with a fair chance

Cause: ranking by expected value sent short tasks to fast upstreams. Change: the former rule with the corrected estimates, with a safety that follows the learned spread, a bounded wait for safety, and a start on the fastest free upstream for tasks that no upstream is expected to end in time (a chance of a fifth).

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -305,6 +305,8 @@
                                                  const PlacementLimits &limits);
     /// Returns the expected run time of one task on an average upstream.
     Duration expectedRun(const FleetJob &job) const;
+    /// Returns the least factor of this VM's run times on upstreams outside evacuated zones.
+    double ownFastestFactor() const;
     /// Returns the expected run time of one task on the fastest kind of upstream.
     Duration fastestRun(const FleetJob &job) const;
 
--- a/include/rattandock/fleet/placement.hpp
+++ b/include/rattandock/fleet/placement.hpp
@@ -38,12 +38,8 @@
 /// `expected`. Thread safety: any thread.
 double chanceToEndWithin(Duration expected, Duration time, double runTimeSpread);
 
-/// Returns the expected value of a run for its caller, from 0 to 1: 1 if it ends within
-/// `untilObjective`, a fifth if it ends later but before the deadline. Thread safety: any thread.
-double expectedValue(Duration expected, const PlacementLimits &limits);
-
-/// Returns the longest expected run time, at least `limits.fastestRunTime`, with which a run has
-/// nearly the value of one on the fastest upstream. Thread safety: any thread.
+/// Returns the longest expected run time, at least `limits.fastestRunTime`, with which an upstream
+/// is useful for the task. Thread safety: any thread.
 Duration maxUsefulRunTime(const PlacementLimits &limits);
 
 /// Returns true if no run has a reasonable chance to end before the deadline, not even on the
@@ -55,11 +51,11 @@
 ///
 /// Load pattern: tasks that need 27 of the 64 or 96 cores of an upstream, upstream speeds that
 /// differ by more than a factor of two, and long tasks that end in time only on the fast
-/// upstreams. The slowest upstream on which the run has nearly the best expected value is
-/// preferred, so that fast upstreams stay free for the tasks that gain most from them. A long task
-/// waits for a fast upstream while that raises its expected value. Among upstreams of similar
-/// speed, the one with the least CPU left after the start is preferred, which limits fragmentation
-/// (best fit).
+/// upstreams. The slowest upstream that meets the objective is preferred, so that fast upstreams
+/// stay free for the tasks that need them. A long task waits for a while for an upstream on which a
+/// run is safe; if there is none, it starts on the fastest free one that gives it a fair chance.
+/// Among upstreams of similar speed, the one with the least CPU left after the start is preferred,
+/// which limits fragmentation (best fit).
 std::optional<std::size_t> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                            const PlacementLimits &limits);
 
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -47,7 +47,7 @@
 
 FleetDispatcher::RunFactors FleetDispatcher::runFactors() const
 {
-    RunFactors factors{m_runTimes.meanFactor(), m_runTimes.fastestFactor()};
+    RunFactors factors{m_runTimes.meanFactor(), ownFastestFactor()};
     if (const double others = m_sharedRoom.fastestPercent() / 100.0; others > 0) {
         factors.fastest = std::min(factors.fastest, others);
     }
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -15,7 +15,7 @@
 /// Factor on the expected run time away from the rack with the data. The platform states 1.5 to 3.
 constexpr double remoteDataFactor = 2.0;
 /// A task waits for a faster upstream for at most this share of its caller's time.
-constexpr double maxWaitForFasterShare = 0.1;
+constexpr double maxWaitForFasterShare = 0.2;
 
 Duration scaled(Duration time, double factor)
 {
@@ -43,9 +43,25 @@
     return scaled(predictedRun(job), m_runTimes.meanFactor());
 }
 
+double FleetDispatcher::ownFastestFactor() const
+{
+    if (m_evacuations.zones().empty()) {
+        return m_runTimes.fastestFactor();
+    }
+    // No task may wait for an upstream of an evacuated zone.
+    double fastest = m_runTimes.meanFactor();
+    for (const auto &[id, kept] : m_keptUpstreams) {
+        const UpstreamEntry &entry = kept.ledger.entry();
+        if (!m_evacuations.isEvacuated(entry.zone)) {
+            fastest = std::min(fastest, m_runTimes.factor(id, upstreamKind(entry)));
+        }
+    }
+    return fastest;
+}
+
 Duration FleetDispatcher::fastestRun(const FleetJob &job) const
 {
-    const double own = m_runTimes.fastestFactor();
+    const double own = ownFastestFactor();
     const double others = m_sharedRoom.fastestPercent() / 100.0;
     return scaled(predictedRun(job), others > 0 ? std::min(own, others) : own);
 }
--- a/src/rattandock/fleet/placement.cpp
+++ b/src/rattandock/fleet/placement.cpp
@@ -10,19 +10,14 @@
 
 /// Width of a speed class: expected run times in one class differ by at most this factor.
 constexpr double speedClassFactor = 1.25;
-/// Value of a late answer relative to one that meets the objective.
-constexpr double lateValue = 0.2;
-/// Expected values that differ by less count as equal, so that fast upstreams stay free.
-constexpr double valueTolerance = 0.03;
-/// A task waits for a faster upstream if that raises its expected value by more than this.
-constexpr double minGainOfWaiting = 0.1;
-/// Time after which one of the fast upstreams is expected to have room.
-constexpr Duration expectedWait = std::chrono::milliseconds{50};
+/// A run is safe if its logarithm may exceed the expected one by this many standard deviations
+/// before the deadline, which one of 25 runs does.
+constexpr double safeDeviations = 1.75;
 /// A run with a smaller chance to end before the deadline is not started: it would mostly take room
 /// from others in vain.
 constexpr double minChance = 0.2;
-/// Steps of the bisection of maxUsefulRunTime(); the result is exact to 1% of its range.
-constexpr int bisectionSteps = 8;
+/// Number of standard deviations by which a run with this chance exceeds the deadline.
+constexpr double minChanceDeviations = 0.84;
 
 int speedClass(Duration expected)
 {
@@ -30,13 +25,16 @@
     return static_cast<int>(std::floor(std::log(micros) / std::log(speedClassFactor)));
 }
 
-/// Returns the value of a run on the fastest upstream after the wait for it.
-double valueAfterWait(const PlacementLimits &limits)
+bool isSafe(Duration expected, const PlacementLimits &limits)
 {
-    PlacementLimits later = limits;
-    later.untilObjective -= expectedWait;
-    later.untilDeadline -= expectedWait;
-    return expectedValue(limits.fastestRunTime, later);
+    return static_cast<double>(expected.count()) * std::exp(safeDeviations * limits.runTimeSpread)
+           <= static_cast<double>(limits.untilDeadline.count());
+}
+
+/// Returns true if the task should wait until a run is safe.
+bool needsSafety(const PlacementLimits &limits)
+{
+    return limits.mayWaitForFaster && isSafe(limits.fastestRunTime, limits);
 }
 
 } // namespace
@@ -51,26 +49,12 @@
     return 0.5 * std::erfc(-std::log(ratio) / (runTimeSpread * std::sqrt(2.0)));
 }
 
-double expectedValue(Duration expected, const PlacementLimits &limits)
-{
-    const Duration inTime = std::min(limits.untilObjective, limits.untilDeadline);
-    return (1 - lateValue) * chanceToEndWithin(expected, inTime, limits.runTimeSpread)
-           + lateValue * chanceToEndWithin(expected, limits.untilDeadline, limits.runTimeSpread);
-}
-
 Duration maxUsefulRunTime(const PlacementLimits &limits)
 {
-    const double wanted = valueAfterWait(limits) - minGainOfWaiting;
-    Duration low = limits.fastestRunTime;
-    Duration high = std::max(low, limits.untilDeadline);
-    if (!limits.mayWaitForFaster || expectedValue(high, limits) >= wanted) {
-        return high;
-    }
-    for (int n = 0; n < bisectionSteps; ++n) {
-        const Duration middle = low + (high - low) / 2;
-        (expectedValue(middle, limits) >= wanted ? low : high) = middle;
-    }
-    return low;
+    const double deviations = needsSafety(limits) ? -safeDeviations : minChanceDeviations;
+    const double longest = static_cast<double>(limits.untilDeadline.count())
+                           * std::exp(deviations * limits.runTimeSpread);
+    return std::max(limits.fastestRunTime, Duration{static_cast<Duration::rep>(longest)});
 }
 
 bool isHopeless(const PlacementLimits &limits)
@@ -82,25 +66,25 @@
 std::optional<std::size_t> choosePlacement(const std::vector<PlacementCandidate> &candidates,
                                            const PlacementLimits &limits)
 {
-    double bestValue = 0;
-    for (const PlacementCandidate &it : candidates) {
-        if (chanceToEndWithin(it.expected, limits.untilDeadline, limits.runTimeSpread)
-            >= minChance) {
-            bestValue = std::max(bestValue, expectedValue(it.expected, limits));
-        }
-    }
-    if (bestValue <= 0
-        || (limits.mayWaitForFaster && valueAfterWait(limits) - bestValue > minGainOfWaiting)) {
-        return std::nullopt;
-    }
-    using Rank = std::tuple<int, std::uint32_t>;
+    using Rank = std::tuple<bool, int, std::uint32_t>;
     std::optional<std::size_t> best;
     Rank bestRank;
+    const bool waitsForSafety = needsSafety(limits);
+    // While the task may wait, it starts with a small chance only if none is better.
+    const bool waitsForDeadline =
+            limits.mayWaitForFaster && limits.fastestRunTime <= limits.untilDeadline;
     for (const PlacementCandidate &it : candidates) {
-        if (expectedValue(it.expected, limits) < bestValue - valueTolerance) {
+        const bool isUseful = waitsForSafety ? isSafe(it.expected, limits)
+                                             : chanceToEndWithin(it.expected, limits.untilDeadline,
+                                                                 limits.runTimeSpread)
+                                                       >= minChance;
+        if (!isUseful || (waitsForDeadline && it.expected > limits.untilDeadline)) {
             continue;
         }
-        const Rank rank{-speedClass(it.expected), it.cpuLeft};
+        const bool isLate = it.expected > limits.untilObjective;
+        const int speed = speedClass(it.expected);
+        const bool prefersFastest = isLate || !waitsForSafety;
+        const Rank rank{isLate, prefersFastest ? speed : -speed, it.cpuLeft};
         if (!best || rank < bestRank) {
             best = it.index;
             bestRank = rank;
