Evacuate zones in the tests with real processes

The stand-in for the platform could not request an evacuation, so nothing showed that the daemon reads the requests from a store.

Its store now has rows that are removed, its runners count starts in a zone more than 5 s after the request, and scripts/platform-tests.sh has four more tests: an evacuation alone, beside a pause, beside a kill, and of all zones with the withdrawal of the request.

--- a/scripts/platform-tests.sh
+++ b/scripts/platform-tests.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
 # Runs three daemons of a fleet as real processes around the platform's stand-in, under failure:
 #   scripts/platform-tests.sh [SEED]
-# Needs a release build. The stand-in's runners count double runs of a task and starts over their
-# room; its callers send a job again 1,300 ms after an answer that says it may have run. A test
-# fails on any of these, or if too few jobs complete. Prints one line per test and a closing line
-# `N passed, N failed`. Uses loopback ports 7700 to 7799.
+# Needs a release build. The stand-in's runners count double runs of a task, starts over their room,
+# and starts in a zone more than 5 s after the request of its evacuation. Its callers send a job again
+# 1,300 ms after an answer that says it may have run. A test fails on any of these, or if too few jobs
+# complete. Prints one line per test and a closing line `N passed, N failed`. Uses loopback ports 7700
+# to 7799.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -25,7 +26,8 @@
   cat >"$work/vm$1.json" <<SETTINGS
 { "vm": "vm-$1", "zone": "$zone", "callerAddress": "127.0.0.1:$port",
   "operatorAddress": "127.0.0.1:$((port + 1))", "peerAddress": "127.0.0.1:$((port + 2))",
-  "fleet": { "storeAddress": "127.0.0.1:$store_port", "weight": 0.25, "stopLimitMs": 2500 } }
+  "fleet": { "storeAddress": "127.0.0.1:$store_port", "weight": 0.25, "stopLimitMs": 2500,
+             "evacuationLimitMs": 5000 } }
 SETTINGS
   start_server "vm$1" "$rattandockd" --settings "$work/vm$1.json"
 }
@@ -94,6 +96,10 @@
 check kill-and-restart 50 kill_and_restart
 check pause-and-wake 50 pause_and_wake
 check restart-in-turn 50 restart_in_turn
+check evacuation 60 nothing --evacuate a --seconds 16
+check evacuation-and-a-pause 40 pause_and_wake --evacuate a --seconds 16
+check evacuation-and-a-kill 40 kill_and_restart --evacuate b --seconds 16
+check evacuation-of-all-and-back 20 nothing --evacuate a,b --evacuate-for 7 --seconds 16
 check kill-beside-a-pause 30 kill_a_paused_one --answer-lost 0.02
 
 echo "$passed passed, $failed failed"
--- a/src/standins/fleet/main.cpp
+++ b/src/standins/fleet/main.cpp
@@ -43,6 +43,10 @@
             "late", "share of orders", cxxopts::value<double>()->default_value("0"))(
             "store-down", "seconds without a store, from the middle of the run",
             cxxopts::value<int>()->default_value("0"))(
+            "evacuate", "zones that the operator evacuates 2 s after the first job",
+            cxxopts::value<std::vector<std::string>>()->default_value(""))(
+            "evacuate-for", "seconds until the request is withdrawn",
+            cxxopts::value<int>()->default_value("10"))(
             "advertised-offset", "added to the ports of the runners in the store, for proxies",
             cxxopts::value<std::uint16_t>()->default_value("0"))(
             "seed", "seed of all draws", cxxopts::value<std::uint64_t>()->default_value("1"))(
@@ -50,6 +54,11 @@
     return options;
 }
 
+/// Time from the first job to the request of an evacuation.
+constexpr std::chrono::seconds evacuationStart{2};
+/// Limit from the request to the last start in the zone.
+constexpr milliseconds evacuationLimit{5000};
+
 /// What callers saw.
 struct Answers
 {
@@ -195,14 +204,15 @@
     for (int n = 0; n < arguments["runners"].as<int>(); ++n) {
         const auto number = static_cast<std::size_t>(n);
         const auto at = static_cast<std::uint16_t>(port + 1 + n);
+        const std::string &zone = zones[number % zones.size()];
         runners.push_back(std::make_unique<StandinRunner>("i-" + std::to_string(n), 64'000U, faults,
-                                                          watch, seed + number));
+                                                          watch, seed + number, zone));
         StandinRunner *const it = runners.back().get();
         isListening =
                 listen(at, [it](const auto &request) { return it->serve(request); }) && isListening;
         const auto advertised =
                 static_cast<std::uint16_t>(at + arguments["advertised-offset"].as<std::uint16_t>());
-        store.put("servers", it->id(), it->row("s", zones[number % zones.size()], advertised));
+        store.put("servers", it->id(), it->row("s", zone, advertised));
     }
     if (!isListening) {
         std::cerr << "fleet-standin: a port is in use\n";
@@ -224,6 +234,9 @@
     }
     const std::chrono::seconds length{arguments["seconds"].as<int>()};
     const std::chrono::seconds down{arguments["store-down"].as<int>()};
+    auto evacuated = arguments["evacuate"].as<std::vector<std::string>>();
+    std::erase(evacuated, "");
+    const std::chrono::seconds evacuation{arguments["evacuate-for"].as<int>()};
     std::promise<Answers> finished;
     threads.spawn(0, [&] {
         Callers callers{callerPorts, watch, seed};
@@ -237,6 +250,18 @@
             store.setDown(false);
         });
         boost::this_fiber::sleep_for(std::chrono::seconds{arguments["warm-up"].as<int>()});
+        adapters::spawnFiber([&store, &watch, evacuated, evacuation] {
+            boost::this_fiber::sleep_for(evacuationStart);
+            for (const std::string &it : evacuated) {
+                store.put("op", "evacuate/" + it, "");
+                watch.evacuate(it, evacuationLimit);
+            }
+            boost::this_fiber::sleep_for(evacuation);
+            for (const std::string &it : evacuated) {
+                watch.withdraw(it);
+                store.remove("op", "evacuate/" + it);
+            }
+        });
         callers.run(arguments["jobs-per-s"].as<double>(), length);
         while (callers.answers.open > 0) {
             boost::this_fiber::sleep_for(milliseconds{10});
@@ -244,19 +269,21 @@
         finished.set_value(callers.answers);
     });
     const Answers seen = finished.get_future().get();
-    std::cout << json::serialize(json::object{{"sent", seen.sent},
-                                              {"completed", seen.completed},
-                                              {"failed", seen.failed},
-                                              {"refused", seen.refused},
-                                              {"brokenOff", seen.brokenOff},
-                                              {"starts", watch.starts()},
-                                              {"doubleRuns", watch.doubleRuns()},
-                                              {"startsOverRoom", watch.startsOverRoom()},
-                                              {"startsAfterRefusal", watch.startsAfterRefusal()}})
+    std::cout << json::serialize(
+            json::object{{"sent", seen.sent},
+                         {"completed", seen.completed},
+                         {"failed", seen.failed},
+                         {"refused", seen.refused},
+                         {"brokenOff", seen.brokenOff},
+                         {"starts", watch.starts()},
+                         {"doubleRuns", watch.doubleRuns()},
+                         {"startsOverRoom", watch.startsOverRoom()},
+                         {"startsAfterRefusal", watch.startsAfterRefusal()},
+                         {"startsInEvacuatedZones", watch.startsInEvacuatedZones()}})
               << std::endl;
     // Its fibers still serve the VMs; the process ends with them.
-    const std::size_t breaches =
-            watch.doubleRuns() + watch.startsOverRoom() + watch.startsAfterRefusal();
+    const std::size_t breaches = watch.doubleRuns() + watch.startsOverRoom()
+                                 + watch.startsAfterRefusal() + watch.startsInEvacuatedZones();
     std::_Exit(breaches == 0 ? app::exitOk : app::exitFailed);
 }
 
--- a/src/standins/fleet/standin_runner.cpp
+++ b/src/standins/fleet/standin_runner.cpp
@@ -32,9 +32,18 @@
 
 } // namespace
 
-bool RunWatch::begin(const std::string &task)
+void RunWatch::evacuate(const std::string &zone, Duration limit)
+{
+    m_evacuated[zone] = steadyMs() + toMilliseconds(limit);
+}
+
+bool RunWatch::begin(const std::string &task, const std::string &zone)
 {
     ++m_starts;
+    if (const auto it = m_evacuated.find(zone);
+        it != m_evacuated.end() && steadyMs() > it->second) {
+        ++m_inEvacuatedZones;
+    }
     if (m_refused.contains(task.substr(0, task.find('.')))) {
         ++m_afterRefusal;
     }
@@ -54,8 +63,9 @@
 }
 
 StandinRunner::StandinRunner(std::string id, std::uint32_t milliCores, RunnerFaults faults,
-                             RunWatch &watch, std::uint64_t seed)
+                             RunWatch &watch, std::uint64_t seed, std::string zone)
     : m_id(std::move(id))
+    , m_zone(std::move(zone))
     , m_milliCores(milliCores)
     , m_faults(faults)
     , m_watch(watch)
@@ -167,7 +177,7 @@
     if (used > m_milliCores) {
         m_watch.overRoom();
     }
-    m_watch.begin(key.first);
+    m_watch.begin(key.first, m_zone);
     m_runs[key] = run;
     return reply(200);
 }
--- a/src/standins/fleet/standin_runner.hpp
+++ b/src/standins/fleet/standin_runner.hpp
@@ -27,14 +27,19 @@
 class RunWatch
 {
 public:
-    /// A task begins; returns false, and counts a breach, if it runs elsewhere.
-    bool begin(const std::string &task);
+    /// A task begins in a zone; returns false, and counts a breach, if it runs elsewhere.
+    bool begin(const std::string &task, const std::string &zone = {});
     void end(const std::string &task);
     void overRoom() { ++m_overRoom; }
     /// All attempts to hand this job in were refused, so none of its tasks may start any more.
     void refused(const std::string &job) { m_refused.insert(job); }
 
+    /// From this limit on, until withdrawn, no task may start in the zone.
+    void evacuate(const std::string &zone, Duration limit);
+    void withdraw(const std::string &zone) { m_evacuated.erase(zone); }
+
     std::size_t starts() const { return m_starts; }
+    std::size_t startsInEvacuatedZones() const { return m_inEvacuatedZones; }
     std::size_t doubleRuns() const { return m_doubleRuns; }
     std::size_t startsOverRoom() const { return m_overRoom; }
     std::size_t startsAfterRefusal() const { return m_afterRefusal; }
@@ -42,6 +47,9 @@
 private:
     std::map<std::string, int> m_active;
     std::set<std::string> m_refused;
+    /// Milliseconds of the steady clock from which a start is a breach.
+    std::map<std::string, std::int64_t> m_evacuated;
+    std::size_t m_inEvacuatedZones = 0;
     std::size_t m_starts = 0;
     std::size_t m_doubleRuns = 0;
     std::size_t m_overRoom = 0;
@@ -55,7 +63,7 @@
 public:
     /// Precondition: the watch outlives the runner.
     StandinRunner(std::string id, std::uint32_t milliCores, RunnerFaults faults, RunWatch &watch,
-                  std::uint64_t seed);
+                  std::uint64_t seed, std::string zone = {});
 
     rattandock::adapters::HttpResponse serve(const rattandock::adapters::HttpRequest &request);
     /// Ends runs whose time or lease is over. Call every few milliseconds.
@@ -90,6 +98,7 @@
     double chance();
 
     std::string m_id;
+    std::string m_zone;
     std::uint32_t m_milliCores;
     RunnerFaults m_faults;
     RunWatch &m_watch;
--- a/src/standins/fleet/standin_store.cpp
+++ b/src/standins/fleet/standin_store.cpp
@@ -48,6 +48,11 @@
     m_rows[{table, "", key}] = {value, ++m_version};
 }
 
+void StandinStore::remove(const std::string &table, const std::string &key)
+{
+    m_rows[{table, "", key}] = {"", ++m_version, true};
+}
+
 HttpResponse StandinStore::serve(const HttpRequest &request)
 {
     if (m_isDown) {
@@ -71,7 +76,7 @@
     for (const auto &[place, row] : m_rows) {
         const auto &[table, part, key] = place;
         if (table == parameter(query, "table") && part == parameter(query, "part")
-            && key >= parameter(query, "from")) {
+            && key >= parameter(query, "from") && !row.isRemoved) {
             rows.push_back(json::object{{"table", table},
                                         {"part", part},
                                         {"key", key},
@@ -98,7 +103,8 @@
                                             {"part", part},
                                             {"key", key},
                                             {"value", rattandock::adapters::toBase64(row.value)},
-                                            {"ver", row.version}});
+                                            {"ver", row.version},
+                                            {"tombstone", row.isRemoved}});
             }
         }
         if (!rows.empty() || std::chrono::steady_clock::now() >= until) {
--- a/src/standins/fleet/standin_store.hpp
+++ b/src/standins/fleet/standin_store.hpp
@@ -17,6 +17,8 @@
 
     /// Writes a row as the operator or a runner does.
     void put(const std::string &table, const std::string &key, const std::string &value);
+    /// Removes a row as the operator does.
+    void remove(const std::string &table, const std::string &key);
     /// While down, calls get 503.
     void setDown(bool isDown) { m_isDown = isDown; }
 
@@ -26,6 +28,8 @@
     {
         std::string value;
         std::uint64_t version = 0;
+        /// The row was removed with this version; only changes() shows it.
+        bool isRemoved = false;
     };
 
     rattandock::adapters::HttpResponse read(const std::string &query) const;
