Check evacuations over long pauses and ignore other sets of the same version

The random schedules freeze for up to 9 s instead of 4 s.

Two VMs that read different sets at one version would have sent them to each other without end. Such a read is possible only if the table changes between two pages of it.

--- a/src/rattandock/fleet/fleet_dispatcher_evacuations.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_evacuations.cpp
@@ -32,7 +32,11 @@
                                   FleetActions &actions)
 {
     const EvacuationState &state = event.state;
-    const std::set<ZoneId> zones{state.zones.begin(), state.zones.end()};
+    // The set of an equal version is not taken: if two VMs read different sets at one version, they
+    // would send them to each other without end.
+    const std::set<ZoneId> zones = state.version == m_evacuations.version()
+                                           ? m_evacuations.zones()
+                                           : std::set(state.zones.begin(), state.zones.end());
     const TimePoint asOf = now - std::clamp(state.age, Duration{}, maxMessageAge) - maxMessageDelay;
     const auto change = m_evacuations.update(state.version, zones, asOf);
     // A link that was up before a pause can deliver a message from before it.
--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -145,6 +145,8 @@
 BOOST_AUTO_TEST_CASE(startsNothingInEvacuatedZonesAfterTheLimit)
 {
     WorldFaults faults = allFaults;
+    // Some freezes are longer than the limit.
+    faults.longestFreeze = std::chrono::seconds{9};
     faults.evacuation = 0.25;
     faults.storeReject = 0.1;
     faults.storeSlow = 0.1;
@@ -176,6 +178,29 @@
     BOOST_TEST((world.completed() - completed) * 100 >= (world.submitted() - submitted) * 80);
 }
 
+// Guards against starts by VMs that were frozen when a zone was evacuated, before they read the
+// store again. All are frozen at once, so that no other VM takes over their upstreams and fences
+// them.
+BOOST_AUTO_TEST_CASE(startsNothingAfterAPauseByOldRequests)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        FleetWorld world{seed,
+                         {.arrivalInterval = std::chrono::milliseconds{50}, .evacuation = 1e-9}};
+        world.after(8s, [&] {
+            for (std::size_t n = 0; n < vmCount; ++n) {
+                world.freeze(n, 8s);
+            }
+        });
+        world.after(8500ms, [&] { world.requestEvacuation(ZoneId{"a"}); });
+        world.run(20s);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(world.violations().empty());
+            BOOST_TEST(world.startsByZone().at(ZoneId{"a"}) > 0);
+        }
+    }
+}
+
 // Guards against a VM that the store rejects and that never learns of an evacuation although other
 // VMs can read it.
 BOOST_AUTO_TEST_CASE(tellsAVmThatTheStoreRejects)
--- a/src/rattandock/fleet/fleet_world_evacuation_test.cpp
+++ b/src/rattandock/fleet/fleet_world_evacuation_test.cpp
@@ -9,6 +9,8 @@
 
 /// Pause of a VM after a failed call.
 constexpr Duration storeRetryPause = std::chrono::milliseconds{250};
+/// Share of answers to a frozen VM that are lost, because its connection ended meanwhile.
+constexpr double answerLostWhileFrozen = 0.5;
 
 } // namespace
 
@@ -81,7 +83,13 @@
         } else if (m_operatorVersion > vm.operatorVersion || vm.operatorVersion == 0
                    || m_now >= call.sentAt + call.wait) {
             vm.operatorCall.reset();
-            vm.operatorVersion = std::max<std::uint64_t>(m_storeVersion, 1);
+            if (m_now < vm.frozenUntil && drawUniform() < answerLostWhileFrozen) {
+                post(n, call.process, EvacuationsReadFailed{call.sentAt}, Duration{});
+                schedule(vm.frozenUntil + storeRetryPause,
+                         [this, n, call] { callOperatorTable(n, call.process); });
+                continue;
+            }
+            vm.operatorVersion = m_storeVersion;
             EvacuationsRead read{vm.operatorVersion, {}, call.sentAt};
             for (const auto &[zone, since] : m_evacuatedSince) {
                 read.zones.insert(zone);
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -465,6 +465,30 @@
     }
 }
 
+void FleetWorld::freeze(std::size_t vm, Duration length)
+{
+    m_vms[vm].frozenUntil = m_now + length;
+    trace("freeze ", m_vms[vm].id, " for ", length.count() / 1000, " ms");
+    if (length > linkSilenceTimeout) {
+        for (std::size_t other = 0; other < vmCount; ++other) {
+            if (other == vm) {
+                continue;
+            }
+            schedule(m_now + linkSilenceTimeout, [this, vm, other] { setLink(vm, other, false); });
+            schedule(m_now + length + 200ms, [this, vm, other] { setLink(vm, other, true); });
+        }
+    }
+    schedule(m_now + length, [this, vm, process = m_vms[vm].process] {
+        Vm &it = m_vms[vm];
+        const std::vector<FleetEvent> heldEvents = std::exchange(it.heldEvents, {});
+        for (const FleetEvent &event : heldEvents) {
+            if (it.process == process && it.dispatcher) {
+                handle(vm, event);
+            }
+        }
+    });
+}
+
 void FleetWorld::injectFaults()
 {
     const double tickSeconds = static_cast<double>(tick.count()) / 1e6;
@@ -489,28 +513,8 @@
     }
     if (drawn(m_faults.vmFreeze)) {
         const std::size_t vm = anyVm();
-        const Duration length = drawDuration(100ms, 4s);
-        m_vms[vm].frozenUntil = m_now + length;
-        trace("freeze ", m_vms[vm].id, " for ", length.count() / 1000, " ms");
-        if (length > linkSilenceTimeout) {
-            for (std::size_t other = 0; other < vmCount; ++other) {
-                if (other == vm) {
-                    continue;
-                }
-                schedule(m_now + linkSilenceTimeout,
-                         [this, vm, other] { setLink(vm, other, false); });
-                schedule(m_now + length + 200ms, [this, vm, other] { setLink(vm, other, true); });
-            }
-        }
-        schedule(m_now + length, [this, vm, process = m_vms[vm].process] {
-            Vm &it = m_vms[vm];
-            const std::vector<FleetEvent> heldEvents = std::exchange(it.heldEvents, {});
-            for (const FleetEvent &event : heldEvents) {
-                if (it.process == process && it.dispatcher) {
-                    handle(vm, event);
-                }
-            }
-        });
+        const Duration length = drawDuration(100ms, m_faults.longestFreeze);
+        freeze(vm, length);
     }
     if (drawn(m_faults.upstreamCrash)) {
         Upstream &upstream = anyUpstream();
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -46,6 +46,7 @@
     /// Rates of each fault per second of simulated time, over all VMs or upstreams.
     double vmKill = 0;
     double vmFreeze = 0;
+    Duration longestFreeze = std::chrono::seconds{4};
     double upstreamCrash = 0;
     double upstreamCut = 0;
     double linkCut = 0;
@@ -101,6 +102,8 @@
     /// The operator requests or withdraws the evacuation of a zone at the current time.
     void requestEvacuation(const ZoneId &zone);
     void withdrawEvacuation(const ZoneId &zone);
+    /// The VM's process does not run for this long. Its links fail if that exceeds their timeout.
+    void freeze(std::size_t vm, Duration length);
     /// The store rejects all calls of the VM from now on.
     void rejectAtStore(std::size_t vm) { m_vms[vm].rejectedUntil = TimePoint::max(); }
     /// Starts per zone since the start of the simulation.
@@ -267,7 +270,8 @@
     std::set<std::pair<std::size_t, std::size_t>> m_upLinks;
     std::map<VmId, MemberRow> m_memberRows;
     std::map<UpstreamId, KeeperRow> m_keeperRows;
-    std::uint64_t m_storeVersion = 0;
+    /// Begins at 1, so that the first read of the operator's table has a version.
+    std::uint64_t m_storeVersion = 1;
     TimePoint m_storeDownUntil;
     std::map<ZoneId, TimePoint> m_evacuatedSince;
     /// Version of the latest change of the operator's table.
