Graduate the trust in upstreams and pass it to the next keeper

One successful probe gave a quarantined upstream back all its room, each quarantine began with the shortest pause, and a new keeper learnt by lost runs what the previous one knew. A start that a quarantined upstream refused as unhealthy was repeated every 5 ms.

After a probe, 2 and then 4 concurrent runs are allowed until three runs have succeeded. A quarantine within 10 s of the last counted failure gets twice the last pause, at most 4 s. Only the failure of the probe counts while quarantined. If more than half of at least eight upstreams of a zone are quarantined, pauses are at most 100 ms and do not grow. UpstreamSuspicion is sent to linked VMs of the zone whose row says that they know the message (messageLevel).

PeerCodecTest/refusesAWrongHeader named 14 as an unknown type; it now takes the first type after the last.

--- a/include/rattandock/core/peer_message.hpp
+++ b/include/rattandock/core/peer_message.hpp
@@ -117,10 +117,10 @@
     std::string changes;
 };
 
-using PeerMessage =
-        std::variant<Heartbeat, ForwardJob, ForwardedAnswer, SlotRequest, SlotGrant, SlotRelease,
-                     HandoverRecords, HandoverPointer, ConfigurationDelta, fleet::TaskOffer,
-                     fleet::TaskOfferEnded, fleet::TaskOfferWithdrawn, fleet::UpstreamChanges>;
+using PeerMessage = std::variant<Heartbeat, ForwardJob, ForwardedAnswer, SlotRequest, SlotGrant,
+                                 SlotRelease, HandoverRecords, HandoverPointer, ConfigurationDelta,
+                                 fleet::TaskOffer, fleet::TaskOfferEnded, fleet::TaskOfferWithdrawn,
+                                 fleet::UpstreamChanges, fleet::UpstreamSuspicion>;
 
 /// Returns the stable name of the message's type for metrics and logs.
 std::string_view name(const PeerMessage &message);
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -91,7 +91,7 @@
 struct SendToVm
 {
     VmId vm;
-    std::variant<TaskOffer, TaskOfferEnded, TaskOfferWithdrawn> message;
+    std::variant<TaskOffer, TaskOfferEnded, TaskOfferWithdrawn, UpstreamSuspicion> message;
 };
 
 /// Writes keeper rows of one zone if the stored versions still match those in `rows`. A
@@ -133,8 +133,12 @@
     UpstreamRestored,
     PeerLink,
     Paused,
+    /// A new keeper starts from what the previous one knew of the upstream.
+    SuspicionAdopted,
+    /// Most upstreams of a zone are quarantined, or no longer.
+    QuarantineWidespread,
 };
-inline constexpr std::size_t fleetLogRecordKindCount = 16;
+inline constexpr std::size_t fleetLogRecordKindCount = 18;
 std::string_view name(FleetLogRecordKind kind);
 
 /// A decision with its inputs. It is logged and counted by kind and reason.
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -156,6 +156,13 @@
         /// When the entry was first missing from the list; unset while it is present.
         std::optional<TimePoint> unlistedSince;
     };
+    /// A suspicion that another VM reported.
+    struct ReportedSuspicion
+    {
+        UpstreamProcessStart processStart;
+        UpstreamTrust trust;
+        TimePoint lastFailure;
+    };
     using Jobs = std::map<JobNumber, Job>;
 
     void handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions);
@@ -174,6 +181,7 @@
     void handleEvent(const OfferReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferEnded &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferWithdrawn &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const SuspicionReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamProbed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const StopRequested &event, TimePoint now, FleetActions &actions);
     void handleEvent(const ProcessPaused &event, TimePoint now, FleetActions &actions);
@@ -214,6 +222,17 @@
     /// Returns the kind of an upstream, by which run times are averaged: its first label.
     static std::string upstreamKind(const UpstreamEntry &entry);
 
+    // Trust in upstreams (fleet_dispatcher_trust.cpp).
+    /// Records what a run shows about the upstream, and reports a change to the VMs of its zone.
+    void recordRunResult(const UpstreamId &upstream, const TaskRef &run, bool hasSucceeded,
+                         std::string_view reason, TimePoint now, FleetActions &actions);
+    /// Sends what is known of a kept upstream to the linked VMs of its zone.
+    void sendSuspicion(const UpstreamId &upstream, TimePoint now, FleetActions &actions);
+    /// Starts from what the previous keeper knew, once the upstream has reported its process.
+    void adoptSuspicion(const UpstreamId &upstream, TimePoint now, FleetActions &actions);
+    /// Drops expired suspicions and updates which zones have mostly quarantined upstreams.
+    void updateSuspicions(TimePoint now, FleetActions &actions);
+
     // Runs (fleet_dispatcher_runs.cpp).
     /// Completes, fails or requeues the task whose run has ended.
     void handleRunEnd(const UpstreamId &upstream, const RunEnded &over, TimePoint now,
@@ -223,7 +242,7 @@
                              FleetActions &actions);
     void completeTask(JobNumber number, Job &job, Task &task, FleetActions &actions);
     void requeueTask(Job &job, Task &task, TimePoint notBefore);
-    /// Reports overdue runs to the upstream watch and restarts those that can still end in time.
+    /// Counts overdue runs against their upstream and restarts those that can still end in time.
     void handleOverdueRuns(TimePoint now, FleetActions &actions);
     /// Starts or offers the waiting tasks of all jobs in scheduling order.
     void dispatch(TimePoint now, FleetActions &actions);
@@ -304,6 +323,10 @@
     PeerRoom m_sharedRoom;
     RunTimes m_runTimes;
     UpstreamQuarantine m_upstreamWatch;
+    /// What the keepers of other upstreams reported of them.
+    std::map<UpstreamId, ReportedSuspicion> m_suspicions;
+    /// Zones in which most of the kept upstreams are quarantined.
+    std::set<ZoneId> m_zonesMostlyQuarantined;
     Jobs m_jobs;
     std::unordered_map<JobId, JobNumber> m_jobsById;
     std::unordered_map<CallerRequestId, JobNumber> m_jobsByRequest;
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -152,6 +152,13 @@
     TaskOfferWithdrawn withdrawal;
 };
 
+/// Another VM of the zone reported how far it trusts an upstream.
+struct SuspicionReceived
+{
+    VmId from;
+    UpstreamSuspicion suspicion;
+};
+
 /// A ProbeUpstream action ended.
 struct UpstreamProbed
 {
@@ -180,6 +187,6 @@
                      MembersRead, KeepersRead, KeeperWriteCompleted, StartOrderCompleted,
                      StopOrderCompleted, RunReportReceived, RunReportFailed, PeerLinkChanged,
                      PeerCapacityReported, OfferReceived, OfferEnded, OfferWithdrawn,
-                     UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
+                     SuspicionReceived, UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -5,7 +5,9 @@
 #include <vector>
 
 #include "rattandock/fleet/fleet_job.hpp"
+#include "rattandock/fleet/run_report.hpp"
 #include "rattandock/fleet/upstream_entry.hpp"
+#include "rattandock/fleet/upstream_trust.hpp"
 
 namespace rattandock::fleet {
 
@@ -90,4 +92,20 @@
     std::vector<UpstreamId> removed;
 };
 
+/// How far the keeper of an upstream trusts it. Sent to the linked VMs of the upstream's zone at
+/// each change and when the keeper gives up the upstream, for the next keeper. Size: about 60 B.
+struct UpstreamSuspicion
+{
+    UpstreamId upstream;
+    /// The process that the runs were started on. What it did says nothing about another one.
+    UpstreamProcessStart processStart;
+    UpstreamTrust state;
+    /// Time from the last counted failure to the sending of this message.
+    Duration age{};
+};
+
+/// The messages that a VM of this build can receive. It is raised with each build that adds some; a
+/// VM that receives an unknown message closes the link. Level 0 has no UpstreamSuspicion.
+inline constexpr std::uint32_t currentMessageLevel = 1;
+
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -25,6 +25,8 @@
     bool draining = false;
     /// Heartbeat counter, incremented with each write of the row.
     std::uint64_t beat = 0;
+    /// The messages that the VM can receive; see currentMessageLevel.
+    std::uint32_t messageLevel = 0;
 
     friend bool operator==(const MemberRow &, const MemberRow &) = default;
 };
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -84,6 +84,8 @@
     const UpstreamEntry &entry() const { return m_entry; }
     void update(UpstreamEntry entry) { m_entry = std::move(entry); }
     std::uint64_t epoch() const { return m_epoch; }
+    /// Returns zero before the first report, or if the upstream does not report it.
+    UpstreamProcessStart processStart() const { return m_processStart; }
 
     /// Returns false before the first report, while polls fail, and while the upstream still has
     /// runs of a previous keeper, whose size is unknown.
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -98,6 +98,12 @@
              {"failures", "overdue", "unhealthy"}},
             {"peer_link", "Changes of links to other VMs.", {"up", "down"}},
             {"paused", "Times that the process stood still.", {"paused"}},
+            {"suspicion_adopted",
+             "Upstreams of which the previous keeper was suspicious.",
+             {"quarantined", "limited", "trusted"}},
+            {"quarantine_widespread",
+             "Changes between few and most upstreams of a zone in quarantine.",
+             {"began", "ended"}},
             {"configuration_in_force", "Configurations that came into force.", {"accepted"}},
     };
 }
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -89,6 +89,20 @@
     return std::tie(after, version, age, present, removed);
 }
 
+template <Is<fleet::UpstreamTrust> T>
+auto fields(T &it)
+{
+    auto &[level, runLimit, pause] = it;
+    return std::tie(level, runLimit, pause);
+}
+
+template <Is<fleet::UpstreamSuspicion> T>
+auto fields(T &it)
+{
+    auto &[upstream, processStart, state, age] = it;
+    return std::tie(upstream, processStart, state, age);
+}
+
 template <Is<core::Resources> T>
 auto fields(T &it)
 {
@@ -210,5 +224,7 @@
 inline constexpr std::size_t enumeratorCount<core::UnknownReason> = core::unknownReasonCount;
 template <>
 inline constexpr std::size_t enumeratorCount<fleet::OfferResult> = fleet::offerResultCount;
+template <>
+inline constexpr std::size_t enumeratorCount<fleet::TrustLevel> = fleet::trustLevelCount;
 
 } // namespace rattandock::adapters::detail
--- a/src/rattandock/adapters/fleet_rows_json.cpp
+++ b/src/rattandock/adapters/fleet_rows_json.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t maxTextBytes = 200;
+constexpr std::int64_t maxMessageLevel = 1'000'000;
 constexpr std::int64_t maxInteger = std::int64_t{1} << 62U;
 
 /// Incarnations use all 64 bits, which JSON numbers of other readers may not hold.
@@ -47,7 +48,8 @@
                                         {"peerAddress", row.peerAddress},
                                         {"weight", row.weight},
                                         {"draining", row.draining},
-                                        {"beat", row.beat}});
+                                        {"beat", row.beat},
+                                        {"messageLevel", row.messageLevel}});
 }
 
 std::optional<fleet::MemberRow> decodeMember(const std::string &key, std::string_view text)
@@ -61,6 +63,9 @@
         row.weight = reader.number("weight", 0.001, 1024).value_or(1);
         row.draining = reader.boolean("draining").value_or(false);
         row.beat = static_cast<std::uint64_t>(reader.integer("beat", 0, maxInteger).value_or(0));
+        // Absent in rows of older builds.
+        row.messageLevel = static_cast<std::uint32_t>(
+                reader.integer("messageLevel", 0, maxMessageLevel).value_or(0));
         return row;
     });
 }
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -198,9 +198,16 @@
                 number(), static_cast<fleet::OfferResult>(below(fleet::offerResultCount))};
     case 11:
         return fleet::TaskOfferWithdrawn{number()};
-    default:
+    case 12:
         return fleet::UpstreamChanges{number(), number(), duration(), listOf(upstreamEntry),
                                       listOf([] { return UpstreamId{text()}; })};
+    default:
+        return fleet::UpstreamSuspicion{
+                UpstreamId{text()},
+                fleet::UpstreamProcessStart{number()},
+                {static_cast<fleet::TrustLevel>(below(fleet::trustLevelCount)), shortNumber(),
+                 duration()},
+                duration()};
     }
 }
 
@@ -290,6 +297,13 @@
            && removed == b.removed;
 }
 
+bool same(const fleet::UpstreamSuspicion &a, const fleet::UpstreamSuspicion &b)
+{
+    const auto &[upstream, processStart, state, age] = a;
+    return upstream == b.upstream && processStart == b.processStart && state == b.state
+           && age == b.age;
+}
+
 bool same(const core::PeerMessage &a, const core::PeerMessage &b)
 {
     return a.index() == b.index()
@@ -393,7 +407,8 @@
     BOOST_TEST(refusalOf(changed(0, 'X')) == "wrong-magic");
     BOOST_TEST(refusalOf(changed(4, 3)) == "wrong-version");
     BOOST_TEST(refusalOf(changed(6, 0)) == "unknown-type");
-    BOOST_TEST(refusalOf(changed(6, 14)) == "unknown-type");
+    constexpr auto lastType = std::variant_size_v<core::PeerMessage>;
+    BOOST_TEST(refusalOf(changed(6, lastType + 1)) == "unknown-type");
     BOOST_TEST(refusalOf(changed(7, 0)) == "wrong-origin");
     BOOST_TEST(refusalOf(changed(8, 0)) == "wrong-size");
     BOOST_TEST(refusalOf(delta + "x") == "wrong-size");
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -60,7 +60,8 @@
             address.address().to_string() + ':' + std::to_string(address.port()),
             settings.fleet->weight,
             false,
-            0};
+            0,
+            fleet::currentMessageLevel};
 }
 
 } // namespace
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -262,6 +262,9 @@
                           [&](const fleet::TaskOfferWithdrawn &it) {
                               post(fleet::OfferWithdrawn{event.from, it});
                           },
+                          [&](const fleet::UpstreamSuspicion &it) {
+                              post(fleet::SuspicionReceived{event.from, it});
+                          },
                           [&](const fleet::UpstreamChanges &it) {
                               // Notices a pause first.
                               post(fleet::TimerDue{});
--- a/src/rattandock/fleet/fleet_action.cpp
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -22,10 +22,11 @@
 std::string_view name(FleetLogRecordKind kind)
 {
     static constexpr std::array<std::string_view, fleetLogRecordKindCount> names{
-            "job-turned-away",    "job-broken-off",    "job-failed",     "job-completed",
-            "tasks-offered",      "offer-ended",       "offer-answered", "run-repeated",
-            "upstream-claimed",   "upstream-released", "upstream-lost",  "upstream-gone",
-            "upstream-set-aside", "upstream-restored", "peer-link",      "paused"};
+            "job-turned-away",    "job-broken-off",       "job-failed",     "job-completed",
+            "tasks-offered",      "offer-ended",          "offer-answered", "run-repeated",
+            "upstream-claimed",   "upstream-released",    "upstream-lost",  "upstream-gone",
+            "upstream-set-aside", "upstream-restored",    "peer-link",      "paused",
+            "suspicion-adopted",  "quarantine-widespread"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -31,6 +31,7 @@
         handleOverdueRuns(now, actions);
         expireUnlisted(now, actions);
         m_endingRuns.expire(now);
+        updateSuspicions(now, actions);
     }
     stepLedgers(now, actions);
     dispatch(now, actions);
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -112,7 +112,9 @@
         const UpstreamEntry &entry = kept.ledger.entry();
         const bool isUseful = 100 * m_runTimes.factor(id, upstreamKind(entry)) <= maxPercent;
         if (entry.service == job.service && isUseful && mayPlaceOn(kept, now)) {
-            places += kept.ledger.freeRoom().cpu.value() / std::max(job.need.cpu.value(), 1U);
+            places += std::min<std::size_t>(kept.ledger.freeRoom().cpu.value()
+                                                    / std::max(job.need.cpu.value(), 1U),
+                                            m_upstreamWatch.startsLeft(id, now));
         }
     }
     return places;
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -161,7 +161,7 @@
     const UpstreamTime leaseUntil = ledger.leaseUntil(now);
     ledger.startSent({number, TaskIndex{static_cast<std::uint32_t>(index)}}, name, run,
                      job.spec.need, now);
-    m_upstreamWatch.started(upstream);
+    m_upstreamWatch.started(upstream, {number, TaskIndex{static_cast<std::uint32_t>(index)}});
     actions.emplace_back(
             StartOrder{upstream, name, run, ledger.token(), leaseUntil, job.spec.payload});
     return true;
@@ -251,17 +251,22 @@
     if (found == m_jobs.end()) {
         m_endingRuns.runEnded(number, m_abandonedRunsEndAt.value_or(now));
         if (over.kind == RunEndKind::Done) {
-            m_upstreamWatch.succeeded(upstream);
-        } else if (over.kind != RunEndKind::Failed) {
-            m_upstreamWatch.endedInconclusively(upstream);
+            recordRunResult(upstream, over.task, true, "", now, actions);
         }
+        m_upstreamWatch.ended(upstream, over.task);
         return;
     }
     Job &job = found->second;
     Task &task = job.tasks[over.task.task.value()];
     if (task.state != TaskState::Running) {
+        m_upstreamWatch.ended(upstream, over.task);
         return;
     }
+    if (over.kind == RunEndKind::Done || over.kind == RunEndKind::Failed) {
+        recordRunResult(upstream, over.task, over.kind == RunEndKind::Done, "failures", now,
+                        actions);
+    }
+    m_upstreamWatch.ended(upstream, over.task);
     if (over.kind == RunEndKind::Done) {
         const auto listed = m_listedUpstreams.find(upstream);
         if (listed != m_listedUpstreams.end() && job.spec.estimate > Duration{}
@@ -269,23 +274,10 @@
             m_runTimes.addSample(upstream, upstreamKind(listed->second.entry), job.spec.estimate,
                                  over.elapsed);
         }
-        if (m_upstreamWatch.succeeded(upstream) == UpstreamQuarantine::Change::Restored) {
-            actions.emplace_back(FleetLogRecord{
-                    FleetLogRecordKind::UpstreamRestored, "probe-done", {}, upstream.value()});
-        }
         return completeTask(number, job, task, actions);
     }
-    if (over.kind == RunEndKind::Failed) {
-        if (m_upstreamWatch.failed(upstream, number, now)
-            == UpstreamQuarantine::Change::Quarantined) {
-            actions.emplace_back(FleetLogRecord{
-                    FleetLogRecordKind::UpstreamSetAside, "failures", {}, upstream.value()});
-        }
-        if (++task.failures >= job.spec.maxAttempts) {
-            return endJob(number, JobFailed{}, now, actions);
-        }
-    } else if (!task.isOverdue) {
-        m_upstreamWatch.endedInconclusively(upstream);
+    if (over.kind == RunEndKind::Failed && ++task.failures >= job.spec.maxAttempts) {
+        return endJob(number, JobFailed{}, now, actions);
     }
     static constexpr std::array<std::string_view, 6> names{"done",   "failed", "stopped",
                                                            "lapsed", "broken", "alone"};
@@ -301,8 +293,11 @@
                                           TimePoint now, FleetActions &actions)
 {
     const JobNumber number = run.task.job;
-    m_upstreamWatch.endedInconclusively(upstream);
     const auto found = m_jobs.find(number);
+    if (run.reason == OrderResult::Unhealthy && found != m_jobs.end()) {
+        recordRunResult(upstream, run.task, false, "unhealthy", now, actions);
+    }
+    m_upstreamWatch.ended(upstream, run.task);
     if (found == m_jobs.end()) {
         m_endingRuns.runEnded(number, now);
         return;
@@ -319,12 +314,6 @@
     if (run.reason == OrderResult::Rejected) {
         return endJob(number, JobFailed{}, now, actions);
     }
-    if (run.reason == OrderResult::Unhealthy
-        && m_upstreamWatch.failed(upstream, number, now)
-                   == UpstreamQuarantine::Change::Quarantined) {
-        actions.emplace_back(FleetLogRecord{
-                FleetLogRecordKind::UpstreamSetAside, "unhealthy", {}, upstream.value()});
-    }
     // Prevents a busy loop of starts on an upstream that refuses each of them at once.
     constexpr Duration refusedStartDelay = std::chrono::milliseconds{5};
     requeueTask(job, task, now + refusedStartDelay);
@@ -350,13 +339,7 @@
                 continue;
             }
             task.isOverdue = true;
-            if (m_upstreamWatch.failed(task.upstream, number, now)
-                == UpstreamQuarantine::Change::Quarantined) {
-                actions.emplace_back(FleetLogRecord{FleetLogRecordKind::UpstreamSetAside,
-                                                    "overdue",
-                                                    {},
-                                                    task.upstream.value()});
-            }
+            recordRunResult(task.upstream, {number, TaskIndex{n}}, false, "overdue", now, actions);
             if (verdict == OverdueAction::Restart) {
                 ++job.overdueStops;
                 LedgerOutputs outputs;
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -132,13 +132,17 @@
         }
         answerLook(report);
     }
-    void keepUpstream(const std::string &id)
+    void listUpstream(const std::string &id)
     {
         UpstreamEntry other = entry();
         other.id = UpstreamId{id};
         send(UpstreamListRead{{other}, {}, false, now});
-        send(KeepersRead{{KeeperRow{other.id, zone, self, incarnation, 1, ++keeperVersion}}});
-        answerOtherLook(other.id, PollNumber{1});
+    }
+    void keepUpstream(const std::string &id)
+    {
+        listUpstream(id);
+        send(KeepersRead{{KeeperRow{UpstreamId{id}, zone, self, incarnation, 1, ++keeperVersion}}});
+        answerOtherLook(UpstreamId{id}, PollNumber{1});
     }
     void answerOtherLook(const UpstreamId &id, PollNumber number)
     {
@@ -158,6 +162,31 @@
                                         ++keeperVersion}}});
         }
     }
+    void submitSmall(std::uint64_t request, const std::string &id, std::uint32_t tasks)
+    {
+        FleetJob small = job(id, tasks, 300ms);
+        small.need.cpu = MilliCores{8'000};
+        submit(request, small);
+    }
+    /// Two jobs fail on the upstream.
+    void quarantineUpstream(RunEndKind kind)
+    {
+        for (std::uint64_t n = 1; n <= 2; ++n) {
+            FleetJob fails = job("fails-" + std::to_string(n), 1, 300ms);
+            fails.maxAttempts = 1;
+            submit(n, fails);
+            confirmStarts();
+            endActiveRuns(kind);
+        }
+        take<StartOrder>();
+    }
+    void linkVm(const std::string &id, std::uint32_t messageLevel)
+    {
+        MemberRow row{VmId{id}, Incarnation{9}, zone, "127.0.0.1:3", 1, false, 1, messageLevel};
+        send(MembersRead{std::vector{MemberRow{self, incarnation, zone, "127.0.0.1:1"}, row},
+                         ZoneId{"other-" + id}});
+        send(PeerLinkChanged{row.vm, true});
+    }
     void submit(std::uint64_t request, const FleetJob &job)
     {
         send(JobSubmitted{CallerRequestId{request}, job});
@@ -178,6 +207,7 @@
     /// Open polls and active runs of upstreams other than `upstream`.
     std::map<UpstreamId, PollNumber> otherLooks;
     std::map<UpstreamId, std::vector<ActiveRun>> otherActive;
+    std::uint64_t lastRequest = 100;
     std::uint64_t lastEnd = 0;
     std::uint64_t keeperVersion = 1;
 };
@@ -483,4 +513,87 @@
     BOOST_TEST(take<StartOrder>().size() == 1);
 }
 
+// Guards against an upstream that fails again right after a successful probe and takes as many runs
+// as it has room for.
+BOOST_AUTO_TEST_CASE(limitsTheRunsAfterAProbe)
+{
+    quarantineUpstream(RunEndKind::Failed);
+    pass(800ms);
+    submitSmall(10, "probe", 1);
+    confirmStarts();
+    BOOST_REQUIRE(active.size() == 1);
+    endActiveRuns(RunEndKind::Done);
+    submitSmall(11, "wide", 6);
+    BOOST_TEST(take<StartOrder>().size() == 2);
+}
+
+// Guards against a probe at every start delay on an upstream that refuses each start as unhealthy.
+BOOST_AUTO_TEST_CASE(pausesAnUpstreamThatRefusesItsProbe)
+{
+    quarantineUpstream(RunEndKind::Failed);
+    pass(800ms);
+    submitSmall(10, "probe", 1);
+    std::size_t starts = 0;
+    for (int n = 0; n < 100; ++n) {
+        for (const StartOrder &it : take<StartOrder>()) {
+            ++starts;
+            send(StartOrderCompleted{upstream, it.name, it.number, OrderResult::Unhealthy,
+                                     std::nullopt});
+        }
+        pass(5ms);
+    }
+    BOOST_TEST(starts == 1);
+}
+
+// Guards against a new keeper that learns by lost runs what the previous one knew.
+BOOST_AUTO_TEST_CASE(passesOnWhatItKnowsOfAnUpstream)
+{
+    linkVm("b", currentMessageLevel);
+    linkVm("old", 0);
+    take<SendToVm>();
+    quarantineUpstream(RunEndKind::Failed);
+    const auto sent = take<SendToVm>();
+    // A VM that doesn't know the message would close the link.
+    BOOST_REQUIRE(sent.size() == 1);
+    BOOST_TEST(sent[0].vm.value() == "b");
+    const auto quarantined = std::get<UpstreamSuspicion>(sent[0].message);
+    BOOST_TEST(quarantined.upstream.value() == "u");
+    BOOST_TEST((quarantined.processStart == UpstreamProcessStart{1}));
+    BOOST_TEST((quarantined.state.level == TrustLevel::Quarantined));
+    pass(100ms);
+    loseUpstreams();
+    const auto released = take<SendToVm>();
+    BOOST_REQUIRE(released.size() == 1);
+    const auto last = std::get<UpstreamSuspicion>(released[0].message);
+    BOOST_TEST((last.state == quarantined.state));
+    BOOST_TEST((last.age >= 100ms));
+}
+
+// Guards against the same at the receiving VM, and against a suspicion that outlives its time or
+// the process of the upstream.
+BOOST_AUTO_TEST_CASE(startsFromTheSuspicionOfThePreviousKeeper)
+{
+    const UpstreamTrust trust{TrustLevel::Quarantined, 0, 1400ms};
+    const auto startsOn = [&](const std::string &id, UpstreamProcessStart process, Duration age) {
+        linkVm("b", currentMessageLevel);
+        loseUpstreams();
+        listUpstream(id);
+        send(SuspicionReceived{VmId{"b"}, {UpstreamId{id}, process, trust, age}});
+        keepUpstream(id);
+        take<StartOrder>();
+        submitSmall(++lastRequest, id, 1);
+        return take<StartOrder>().size();
+    };
+    BOOST_TEST(startsOn("second", UpstreamProcessStart{1}, 300ms) == 0);
+    pass(1000ms);
+    submitSmall(++lastRequest, "early", 1);
+    BOOST_TEST(take<StartOrder>().empty());
+    pass(150ms);
+    submitSmall(++lastRequest, "later", 1);
+    BOOST_TEST(take<StartOrder>().size() == 1);
+    BOOST_TEST(startsOn("other-process", UpstreamProcessStart{2}, 300ms) == 1);
+    BOOST_TEST(startsOn("too-old", UpstreamProcessStart{1}, 10s) == 1);
+    BOOST_TEST(startsOn("negative-age", UpstreamProcessStart{1}, -1s) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -190,6 +190,7 @@
 void FleetDispatcher::dropUpstream(const UpstreamId &id, std::string_view reason, TimePoint now,
                                    FleetActions &actions)
 {
+    sendSuspicion(id, now, actions);
     auto node = m_keptUpstreams.extract(id);
     if (node.empty()) {
         return;
@@ -254,6 +255,7 @@
         LedgerOutputs outputs;
         kept->second.ledger.pollAnswered(event.number, event.report, now, outputs);
         applyLedgerOutputs(event.upstream, outputs, now, actions);
+        adoptSuspicion(event.upstream, now, actions);
     }
 }
 
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -238,7 +238,8 @@
         return;
     }
     if (storeIsUp() && m_now >= vm.frozenUntil) {
-        m_memberRows[vm.id] = {vm.id, vm.incarnation, vm.zone, "127.0.0.1:1", 1, false, ++vm.beat};
+        m_memberRows[vm.id] = {vm.id, vm.incarnation, vm.zone,   "127.0.0.1:1",
+                               1,     false,          ++vm.beat, currentMessageLevel};
         MembersRead read;
         read.rows.emplace();
         for (const auto &[id, row] : m_memberRows) {
@@ -342,16 +343,20 @@
         return;
     }
     const VmId sender = m_vms[from].id;
-    std::visit(Overloaded{[&](const TaskOffer &it) {
-                              post(to, m_vms[to].process, OfferReceived{sender, it}, networkDelay);
-                          },
-                          [&](const TaskOfferEnded &it) {
-                              post(to, m_vms[to].process, OfferEnded{sender, it}, networkDelay);
-                          },
-                          [&](const TaskOfferWithdrawn &it) {
-                              post(to, m_vms[to].process, OfferWithdrawn{sender, it}, networkDelay);
-                          }},
-               message.message);
+    std::visit(
+            Overloaded{[&](const TaskOffer &it) {
+                           post(to, m_vms[to].process, OfferReceived{sender, it}, networkDelay);
+                       },
+                       [&](const TaskOfferEnded &it) {
+                           post(to, m_vms[to].process, OfferEnded{sender, it}, networkDelay);
+                       },
+                       [&](const TaskOfferWithdrawn &it) {
+                           post(to, m_vms[to].process, OfferWithdrawn{sender, it}, networkDelay);
+                       },
+                       [&](const UpstreamSuspicion &it) {
+                           post(to, m_vms[to].process, SuspicionReceived{sender, it}, networkDelay);
+                       }},
+            message.message);
 }
 
 void FleetWorld::submitNewJob()
