Stop offered work, leases and releases that a lost message kept alive

- A VM that was silent for 0.6 to 1 s kept running the tasks of a peer that had closed its connection and answered 502, as only the own outgoing link ended them: PeerInputClosed ends them too.
- Polls renewed the lease of runs whose stop orders were lost; runs that are all being stopped now end with their lease.
- A release whose write was lost left the row with this VM, which no longer used the upstream, so no VM claimed it.
It is released or claimed again, never under the former epoch, whose fencing tokens may be higher than those of a new ledger.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -177,6 +177,7 @@
     void handleEvent(const RunReportReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const RunReportFailed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const PeerLinkChanged &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const PeerInputClosed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const PeerCapacityReported &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferEnded &event, TimePoint now, FleetActions &actions);
@@ -200,6 +201,11 @@
     /// Writes the claim or release of upstreams to the store, one conditional write per zone.
     void writeKeepers(const std::vector<UpstreamId> &upstreams, bool claim, TimePoint now,
                       FleetActions &actions);
+    /// Returns true if the row names this process.
+    bool isOwnRow(const KeeperRow &row) const
+    {
+        return row.vm == m_options.vm && row.incarnation == m_options.incarnation;
+    }
     /// Stops keeping an upstream and requeues the tasks that ran there.
     void dropUpstream(const UpstreamId &id, std::string_view reason, TimePoint now,
                       FleetActions &actions);
@@ -283,6 +289,8 @@
                   TimePoint now, FleetActions &actions);
     /// Stops the running tasks of a job and withdraws its offers.
     void stopTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
+    /// Ends the jobs that were offered to another VM or by it.
+    void endSharedJobs(const VmId &vm, TimePoint now, FleetActions &actions);
     /// Aborts jobs that cannot meet their deadline, that waited too long for their first start, or
     /// that are left at the stop limit.
     void expireJobs(TimePoint now, FleetActions &actions);
@@ -308,6 +316,9 @@
     std::set<UpstreamId> m_unlistedUpstreams;
     std::map<UpstreamId, KeeperRow> m_keepers;
     std::map<UpstreamId, KeptUpstream> m_keptUpstreams;
+    /// Epochs of upstreams that this VM ceased to keep and whose rows have not changed since. Such
+    /// a row may still name this VM, if its release was not written.
+    std::map<UpstreamId, std::uint64_t> m_abandonedEpochs;
     /// Zones with a write of keeper rows in flight; at most one per zone.
     std::set<ZoneId> m_zonesBeingWritten;
     /// When an upstream of another zone was last reached.
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -119,6 +119,13 @@
     bool isUp = false;
 };
 
+/// The connection over which another VM sent its messages ended. The link to that VM may still be
+/// up. Task offers between the two VMs are cancelled, as the other end cancels its part.
+struct PeerInputClosed
+{
+    VmId vm;
+};
+
 /// A heartbeat from another VM was received.
 struct PeerCapacityReported
 {
@@ -186,7 +193,8 @@
         std::variant<JobSubmitted, CallerDisconnected, UpstreamListRead, UpstreamListReadFailed,
                      MembersRead, KeepersRead, KeeperWriteCompleted, StartOrderCompleted,
                      StopOrderCompleted, RunReportReceived, RunReportFailed, PeerLinkChanged,
-                     PeerCapacityReported, OfferReceived, OfferEnded, OfferWithdrawn,
-                     SuspicionReceived, UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
+                     PeerInputClosed, PeerCapacityReported, OfferReceived, OfferEnded,
+                     OfferWithdrawn, SuspicionReceived, UpstreamProbed, StopRequested,
+                     ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -143,24 +143,35 @@
     }
     m_linkedVms.erase(event.vm);
     m_sharedRoom.remove(event.vm);
+    endSharedJobs(event.vm, now, actions);
+}
+
+void FleetDispatcher::handleEvent(const PeerInputClosed &event, TimePoint now,
+                                  FleetActions &actions)
+{
+    endSharedJobs(event.vm, now, actions);
+}
+
+void FleetDispatcher::endSharedJobs(const VmId &vm, TimePoint now, FleetActions &actions)
+{
     std::vector<JobNumber> jobsOfferedToPeer;
     std::erase_if(m_offers, [&](const auto &it) {
-        if (it.second.vm == event.vm) {
+        if (it.second.vm == vm) {
             jobsOfferedToPeer.push_back(it.second.job);
             if (const auto job = m_jobs.find(it.second.job); job != m_jobs.end()) {
                 m_endingRuns.holdUntil(job->second.spec.id, now + runsEndAfterLoss());
                 actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "link-down",
-                                                    job->second.spec.id, event.vm.value()});
+                                                    job->second.spec.id, vm.value()});
             }
         }
-        return it.second.vm == event.vm;
+        return it.second.vm == vm;
     });
     for (const JobNumber it : jobsOfferedToPeer) {
         abortJob(it, TurnAwayReason::Overload, BreakOffReason::PeerLost, now, actions);
     }
     std::vector<JobNumber> jobsOfferedByPeer;
     for (const auto &[offer, job] : m_jobsByOffer) {
-        if (offer.first == event.vm) {
+        if (offer.first == vm) {
             jobsOfferedByPeer.push_back(job);
         }
     }
--- a/src/rattandock/fleet/fleet_dispatcher_assignment.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_assignment.cpp
@@ -65,7 +65,14 @@
             }
         }
     }
-    const AssignmentDecision decision = assignUpstreams(view);
+    AssignmentDecision decision = assignUpstreams(view);
+    for (const auto &[id, row] : view.keepers) {
+        const bool isReleased = std::ranges::find(decision.release, id) != decision.release.end();
+        if (isOwnRow(row) && !m_keptUpstreams.contains(id) && !isReleased) {
+            // The release of this row was not written. Only this VM can claim it.
+            decision.claim.push_back(id);
+        }
+    }
     // Retries at the next interval, as a release waits for the end of runs and a claim in another
     // zone for a successful probe.
     m_isAssignmentDue = !decision.claim.empty() || !decision.release.empty();
@@ -74,7 +81,8 @@
     }
     std::vector<UpstreamId> released;
     for (const UpstreamId &it : decision.release) {
-        if (m_keptUpstreams.contains(it) && m_keptUpstreams.at(it).ledger.isIdle()) {
+        const auto kept = m_keptUpstreams.find(it);
+        if (kept == m_keptUpstreams.end() || kept->second.ledger.isIdle()) {
             released.push_back(it);
         }
     }
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -143,6 +143,10 @@
         listUpstream(id);
         send(KeepersRead{{KeeperRow{UpstreamId{id}, zone, self, incarnation, 1, ++keeperVersion}}});
         answerOtherLook(UpstreamId{id}, PollNumber{1});
+        // A claim that was sent before the row was read has failed.
+        if (!take<WriteKeepers>().empty()) {
+            send(KeeperWriteCompleted{zone, false, {}});
+        }
     }
     void answerOtherLook(const UpstreamId &id, PollNumber number)
     {
@@ -180,6 +184,34 @@
         }
         take<StartOrder>();
     }
+    /// The first row of a write of keeper rows, and the row that it replaces.
+    struct KeeperWrite
+    {
+        KeeperRow row;
+        KeeperRow replaced;
+    };
+    /// Waits for a write of keeper rows while `otherVm`, if named, is alive and keeps nothing.
+    KeeperWrite waitForWrite(const std::string &otherVm)
+    {
+        std::vector<MemberRow> rows{{self, incarnation, zone, "127.0.0.1:1"}};
+        if (!otherVm.empty()) {
+            rows.push_back({VmId{otherVm}, Incarnation{9}, zone, "127.0.0.1:3", 1, false, 1});
+            send(PeerLinkChanged{VmId{otherVm}, true});
+        } else {
+            send(PeerLinkChanged{VmId{"b"}, false});
+        }
+        send(MembersRead{rows, zone});
+        for (int n = 0; n < 100; ++n) {
+            pass(10ms);
+            for (const WriteKeepers &it : take<WriteKeepers>()) {
+                const KeeperRow &row = it.rows.front();
+                return {row, KeeperRow{row.upstream, zone, self, incarnation, row.epoch - 1,
+                                       row.version}};
+            }
+        }
+        BOOST_FAIL("no keeper rows were written");
+        return {};
+    }
     void linkVm(const std::string &id, std::uint32_t messageLevel)
     {
         MemberRow row{VmId{id}, Incarnation{9}, zone, "127.0.0.1:3", 1, false, 1, messageLevel};
@@ -513,6 +545,68 @@
     BOOST_TEST(take<StartOrder>().size() == 1);
 }
 
+// Guards against an upstream without a keeper after the answer to its release was lost: its row
+// still names this VM, which no longer uses it, so no VM claimed it.
+BOOST_AUTO_TEST_CASE(releasesAnUpstreamAgainAfterALostAnswer)
+{
+    keepSecondUpstream();
+    const KeeperWrite first = waitForWrite("b");
+    BOOST_TEST(first.row.vm.value().empty());
+    // The write was not committed and its answer is lost.
+    send(KeeperWriteCompleted{zone, std::nullopt, {}});
+    const KeeperWrite second = waitForWrite("b");
+    BOOST_TEST((second.row == first.row));
+    // The conflict returns the row of before the release. Its epoch must not be used again.
+    send(KeeperWriteCompleted{zone, false, {first.replaced}});
+    BOOST_TEST(dispatcher.status().keptUpstreams == 1);
+    // The other VM has left meanwhile, so this VM claims the upstream.
+    const KeeperWrite third = waitForWrite("");
+    BOOST_TEST(third.row.vm.value() == "a");
+    BOOST_TEST(third.row.epoch > first.replaced.epoch);
+    KeeperRow claimed = third.row;
+    claimed.version = 100;
+    send(KeeperWriteCompleted{zone, true, {claimed}});
+    BOOST_TEST(dispatcher.status().keptUpstreams == 2);
+}
+
+// Guards against an upstream without a keeper after the answer to its claim was lost.
+BOOST_AUTO_TEST_CASE(keepsAnUpstreamAfterTheAnswerToItsClaimWasLost)
+{
+    listUpstream("second");
+    const KeeperWrite claim = waitForWrite("");
+    BOOST_TEST(claim.row.upstream.value() == "second");
+    send(KeeperWriteCompleted{zone, std::nullopt, {}});
+    // The write may or may not be committed, so nothing is started before its row is read.
+    BOOST_TEST(dispatcher.status().keptUpstreams == 1);
+    KeeperRow written = claim.row;
+    written.version = 7;
+    send(KeepersRead{{written}});
+    BOOST_TEST(dispatcher.status().keptUpstreams == 2);
+    pass(600ms);
+    BOOST_TEST(take<WriteKeepers>().empty());
+}
+
+// Guards against tasks that run on for a VM that has ended their job. Its connection to this VM was
+// closed after a silence of this VM, while the link from this VM to it survived.
+BOOST_AUTO_TEST_CASE(stopsOfferedTasksWhenTheInputOfThePeerEnds)
+{
+    send(PeerLinkChanged{VmId{"b"}, true});
+    send(OfferReceived{VmId{"b"}, TaskOffer{5, job("offered", 2, 300ms), {0, 1}, 1}});
+    confirmStarts();
+    send(PeerInputClosed{VmId{"b"}});
+    BOOST_TEST(take<StopOrder>().size() == 2);
+    // Jobs offered to that VM end too, as its answer can't arrive.
+    send(PeerCapacityReported{VmId{"b"}, zone, false, {{{64'000, 100}}, 100, 64'000, 0}});
+    submit(1, job("mine", 2, 300ms));
+    BOOST_TEST(take<AnswerJob>().empty());
+    send(PeerInputClosed{VmId{"b"}});
+    const auto answers = take<AnswerJob>();
+    BOOST_REQUIRE(answers.size() == 1);
+    const auto *const end = std::get_if<JobBrokenOff>(&answers[0].end);
+    BOOST_REQUIRE(end != nullptr);
+    BOOST_TEST((end->reason == BreakOffReason::PeerLost));
+}
+
 // Guards against an upstream that fails again right after a successful probe and takes as many runs
 // as it has room for.
 BOOST_AUTO_TEST_CASE(limitsTheRunsAfterAProbe)
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -165,7 +165,13 @@
         return;
     }
     m_keepers[row.upstream] = row;
-    const bool isOwnKeeper = row.vm == m_options.vm && row.incarnation == m_options.incarnation;
+    const auto abandoned = m_abandonedEpochs.find(row.upstream);
+    // The new ledger would send lower fencing tokens than the former one of the same epoch.
+    const bool isAbandoned = abandoned != m_abandonedEpochs.end() && row.epoch <= abandoned->second;
+    const bool isOwnKeeper = isOwnRow(row) && !isAbandoned;
+    if (!isAbandoned && abandoned != m_abandonedEpochs.end()) {
+        m_abandonedEpochs.erase(abandoned);
+    }
     const auto kept = m_keptUpstreams.find(row.upstream);
     if (kept != m_keptUpstreams.end()
         && (!isOwnKeeper || kept->second.ledger.epoch() != row.epoch)) {
@@ -196,6 +202,7 @@
         return;
     }
     UpstreamLedger &ledger = node.mapped().ledger;
+    m_abandonedEpochs[id] = ledger.epoch();
     if (ledger.runCount() > 0) {
         actions.emplace_back(
                 FleetLogRecord{FleetLogRecordKind::UpstreamLost,
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -308,10 +308,13 @@
     m_openPoll = Poll{number, token(), now};
     m_lastPoll = now;
     const bool isBusy = !m_runs.empty();
+    // If stop orders are lost again and again, the runs end with their lease instead.
+    const bool needsLease = std::ranges::any_of(
+            m_runs, [](const auto &it) { return it.second.state != State::Stopping; });
     PollOrder order{m_entry.id, number, token(), m_acknowledged, {}, {}};
     // After a failed poll, the lease is not renewed until a reply arrives. Otherwise each lost poll
     // would move the time at which the runs are considered ended.
-    if (isBusy && m_clock && m_failures == 0) {
+    if (needsLease && m_clock && m_failures == 0) {
         order.leaseUntil = leaseUntil(now);
         m_leaseEnd = now + m_times.lease;
     }
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -229,4 +229,32 @@
     BOOST_TEST((*ledger.nextTimer() - now > 400ms));
 }
 
+// Guards against a run that is renewed for as long as its stop orders are lost. Another VM may have
+// started the task again meanwhile.
+BOOST_AUTO_TEST_CASE(letsTheLeaseOfStoppedRunsExpire)
+{
+    start(0);
+    start(1);
+    startAnswered(0, OrderResult::Done);
+    startAnswered(1, OrderResult::Done);
+    const RunReport both{{}, {}, {{name(0), RunNumber{1}}, {name(1), RunNumber{1}}}, {}};
+    now += 500ms;
+    ledger.step(now, out);
+    answerPoll(both);
+    ledger.stop({JobNumber{1}, TaskIndex{0}}, now, out);
+    now += 10ms;
+    answerPoll(both);
+    // The other run still needs its lease.
+    BOOST_TEST(lastPoll().leaseUntil.has_value());
+    ledger.stop({JobNumber{1}, TaskIndex{1}}, now, out);
+    const TimePoint stopped = now;
+    while (all<RunEnded>().empty() && now < stopped + 2s) {
+        now += 10ms;
+        answerPoll(both);
+        BOOST_TEST(!lastPoll().leaseUntil.has_value());
+    }
+    BOOST_TEST(all<RunEnded>().size() == 2);
+    BOOST_TEST((now - stopped <= 650ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
