Bound what other parties send, and check that resubmissions are safe at the start

- A silence limit of links with which a resubmitted job could run beside its former run is refused in the settings: silence + lease + 2% + 25 ms must be at most 1,300 ms, so at most 663 ms.
- An offer of a job that this VM holds for its caller, or for a third VM, ends the former one: the caller has submitted it again elsewhere.

--- a/include/rattandock/adapters/peer_streams.hpp
+++ b/include/rattandock/adapters/peer_streams.hpp
@@ -44,6 +44,10 @@
     PeerTls tls;
     /// Seed of the jitter.
     std::uint64_t seed = 0;
+    /// Called on an I/O thread when the connection of a peer to this VM has ended, or when the peer
+    /// sends over a new one. May be empty. With several threads, connections of one peer to
+    /// different threads are reported separately.
+    std::function<void(const VmId &)> onInputClosed;
 };
 
 /// Streams between the daemons: one outgoing connection to each peer carries the messages to it.
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -294,8 +294,10 @@
     /// Aborts jobs that cannot meet their deadline, that waited too long for their first start, or
     /// that are left at the stop limit.
     void expireJobs(TimePoint now, FleetActions &actions);
-    /// Ends the unfinished job with the same id when the caller submits it again.
-    void replaceJob(const JobId &id, TimePoint now, FleetActions &actions);
+    /// Ends the unfinished jobs with the same id when the caller submits it again, here or at the
+    /// VM that offers its tasks. Jobs that this VM offered before stay: they are parts of one job.
+    void replaceJob(const JobId &id, const std::optional<VmId> &offeredBy, TimePoint now,
+                    FleetActions &actions);
     /// Returns the time from the loss of another VM until none of the tasks that were offered to it
     /// can execute.
     Duration runsEndAfterLoss() const
--- a/include/rattandock/fleet/lease_times.hpp
+++ b/include/rattandock/fleet/lease_times.hpp
@@ -6,6 +6,9 @@
 
 using namespace std::chrono_literals;
 
+/// Time from a broken answer until its caller submits the job again. The platform states it.
+inline constexpr Duration callerResubmitDelay = 1300ms;
+
 /// Timing of the leases under which upstreams run tasks.
 ///
 /// With a shorter lease, the runs of a failed lease holder end earlier and can be restarted sooner,
@@ -39,7 +42,7 @@
     Duration stopRetryInterval = 200ms;
 
     /// Returns the time from the end of a lease as granted until it counts as expired.
-    Duration expiryDelay() const
+    constexpr Duration expiryDelay() const
     {
         return Duration{static_cast<Duration::rep>(static_cast<double>(lease.count())
                                                    * maxClockDrift)}
@@ -48,10 +51,14 @@
     /// Returns the time from the failure of a VM, or of the link to it, until no run that depends
     /// on it can execute: its silence is detected after `peerSilence`, and leases that were renewed
     /// until then expire.
-    Duration runsEndAfter(Duration peerSilence) const
+    constexpr Duration runsEndAfter(Duration peerSilence) const
     {
         return peerSilence + lease + expiryDelay();
     }
+    /// Returns the longest silence limit of links with which no run of a job can execute any more
+    /// when its caller submits it again after the failure of a VM or a link:
+    /// silence + lease + lease * maxClockDrift + expiryMargin <= callerResubmitDelay.
+    constexpr Duration maxSilence() const { return callerResubmitDelay - runsEndAfter({}); }
 };
 
 } // namespace rattandock::fleet
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -37,6 +37,8 @@
         asio::steady_timer ticker;
         std::vector<std::unique_ptr<PeerLink>> links;
         std::list<PeerConnection *> incoming;
+        /// The connection over which each peer sent a message last.
+        std::unordered_map<VmId, PeerConnection *> inputs;
         std::set<VmId> knownVms;
     };
     struct Place
@@ -88,6 +90,7 @@
     void acceptLoop();
     void serve(std::size_t thread, tcp::socket socket);
     bool receive(std::size_t thread, PeerConnection &from, VmId &sender, std::string_view bytes);
+    void replaceInput(std::size_t thread, const VmId &sender, PeerConnection *connection);
     bool refuse(std::string_view reason);
     void tick(std::size_t thread);
     void requestHeartbeat(std::size_t thread, const PeerLink *only);
@@ -169,6 +172,10 @@
     const auto place = incoming.insert(incoming.end(), &connection);
     const PeerConnection::End end = connection.run();
     incoming.erase(place);
+    const auto input = perThread[thread]->inputs.find(sender);
+    if (input != perThread[thread]->inputs.end() && input->second == self) {
+        replaceInput(thread, sender, nullptr);
+    }
     metrics.count("peer_connections", name(end));
     if (end == PeerConnection::End::MessageTooLarge) {
         refuse("too-large");
@@ -191,6 +198,7 @@
     }
     if (sender.value().empty()) {
         sender = envelope.sender;
+        replaceInput(thread, sender, &from);
     } else if (sender != envelope.sender) {
         return refuse("changed-origin");
     }
@@ -199,6 +207,19 @@
     return true;
 }
 
+void PeerStreams::State::replaceInput(std::size_t thread, const VmId &sender,
+                                      PeerConnection *connection)
+{
+    auto &inputs = perThread[thread]->inputs;
+    const bool hadInput = inputs.erase(sender) > 0;
+    if (connection != nullptr) {
+        inputs[sender] = connection;
+    }
+    if (hadInput && options.onInputClosed && !stopping) {
+        options.onInputClosed(sender);
+    }
+}
+
 bool PeerStreams::State::refuse(std::string_view reason)
 {
     metrics.count("peer_messages_refused", reason);
--- a/src/rattandock/adapters/peer_streams_test.cpp
+++ b/src/rattandock/adapters/peer_streams_test.cpp
@@ -1,5 +1,6 @@
 #include "rattandock/adapters/peer_streams.hpp"
 
+#include <atomic>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -150,6 +151,27 @@
     waitUntil([&] { return a.events.isUp(); });
 }
 
+// Guards against work that goes on for a peer whose connection has ended while the link to that
+// peer is still up.
+BOOST_AUTO_TEST_CASE(reportsTheEndOfTheConnectionOfAPeer)
+{
+    std::atomic<int> closedInputs = 0;
+    PeerStreamsOptions options = optionsOf("b");
+    options.onInputClosed = [&closedInputs](const VmId &vm) {
+        if (vm == VmId{"a"}) {
+            ++closedInputs;
+        }
+    };
+    Node b{options};
+    b.streams->connect({addressOf("a", anyPort)});
+    waitUntil([&] { return isAccepted(b, {messageFrom("a")}); });
+    waitUntil([&] { return closedInputs == 1; });
+    BOOST_TEST(isAccepted(b, {messageFrom("a"), messageFrom("a")}));
+    waitUntil([&] { return closedInputs == 2; });
+    BOOST_TEST(!isAccepted(b, {messageFrom("stranger")}));
+    BOOST_TEST(closedInputs == 2);
+}
+
 // Guards against a queue that grows without bound while the peer takes nothing.
 BOOST_AUTO_TEST_CASE(fullQueueClosesTheLink)
 {
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -7,6 +7,7 @@
 #include "rattandock/adapters/json_document.hpp"
 #include "rattandock/adapters/json_object_reader.hpp"
 #include "rattandock/adapters/peer_codec.hpp"
+#include "rattandock/fleet/lease_times.hpp"
 
 namespace rattandock::adapters {
 
@@ -255,7 +256,8 @@
         }
     }
     readMilliseconds(reader, "callerWaitMs", 100, maxHourMs, fleet.callerWait);
-    readMilliseconds(reader, "peerSilenceMs", 100, 60'000, fleet.peerSilence);
+    readMilliseconds(reader, "peerSilenceMs", 100, toMilliseconds(fleet::LeaseTimes{}.maxSilence()),
+                     fleet.peerSilence);
     readMilliseconds(reader, "stopLimitMs", 0, maxHourMs, fleet.stopLimit);
     readMilliseconds(reader, "upstreamDrainMs", 1000, 60'000, fleet.upstreamDrainLimit);
     return fleet;
--- a/src/rattandock/adapters/settings_test.cpp
+++ b/src/rattandock/adapters/settings_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "rattandock/fleet/lease_times.hpp"
+
 using namespace rattandock;
 using namespace rattandock::adapters;
 
@@ -101,4 +103,27 @@
     BOOST_TEST(settings.error().items().at(0).place == "a.json:2");
 }
 
+// Guards against a daemon that starts with a silence limit after which a resubmitted job could
+// start while its former run still executes at a VM that was cut off: 663 + 600 + 12 + 25 = 1,300
+// ms.
+BOOST_AUTO_TEST_CASE(boundsTheSilenceOfLinksByTheResubmission)
+{
+    const auto parse = [](const std::string &silence) {
+        return parseSettings(R"({
+            "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0",
+            "operatorAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:8001",
+            "fleet": {"storeAddress": "127.0.0.1:7400", "peerSilenceMs": )"
+                                     + silence + "}}",
+                             "a.json");
+    };
+    const auto longest = parse("663");
+    BOOST_REQUIRE(longest);
+    const Duration silence = longest.value().fleet->peerSilence;
+    BOOST_TEST((fleet::LeaseTimes{}.runsEndAfter(silence) == fleet::callerResubmitDelay));
+    const auto tooLong = parse("664");
+    BOOST_REQUIRE(!tooLong);
+    BOOST_TEST(describe(tooLong.error())
+               == "a.json: $.fleet.peerSilenceMs: must be from 100 to 663\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -147,6 +147,7 @@
     options.lastPause = std::chrono::milliseconds{500};
     options.settleLimit = std::chrono::milliseconds{100};
     options.seed = randomNumber();
+    options.onInputClosed = [this](const VmId &vm) { loop.post(fleet::PeerInputClosed{vm}); };
     if (settings.peerTls) {
         auto tls = adapters::loadPeerTls(*settings.peerTls);
         if (!tls) {
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -39,6 +39,28 @@
            * static_cast<CoreWork>(expected.count());
 }
 
+/// Bounds of an offer, above all that this program sends. Others come from a faulty sender and
+/// would overflow times or take too much memory.
+constexpr std::size_t maxOfferedTasks = 10'000;
+constexpr std::uint32_t maxOfferedRun = 1'000'000;
+constexpr Duration maxOfferedTime = std::chrono::hours{2400};
+
+bool isValidOffer(const TaskOffer &offer)
+{
+    const FleetJob &job = offer.job;
+    const auto isBounded = [](Duration time) {
+        return time >= -maxOfferedTime && time <= maxOfferedTime;
+    };
+    if (offer.tasks.empty() || offer.tasks.size() > maxOfferedTasks || offer.firstRun == 0
+        || offer.firstRun > maxOfferedRun || job.estimate < Duration{} || !isBounded(job.estimate)
+        || !isBounded(job.deadline) || !isBounded(job.objective)) {
+        return false;
+    }
+    std::vector<std::uint32_t> tasks = offer.tasks;
+    std::ranges::sort(tasks);
+    return tasks.back() < job.taskCount && std::ranges::adjacent_find(tasks) == tasks.end();
+}
+
 FleetLogRecord makeJobEndNote(const JobEnd &end, const FleetJob &job, const std::string &progress)
 {
     const auto note = [&](FleetLogRecordKind kind, std::string_view reason) {
@@ -170,7 +192,7 @@
 
 void FleetDispatcher::handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions)
 {
-    replaceJob(event.job.id, now, actions);
+    replaceJob(event.job.id, std::nullopt, now, actions);
     if (const auto refusal = checkAdmission(event.job, now)) {
         return turnAway(event.request, event.job, *refusal, actions);
     }
@@ -183,9 +205,20 @@
     m_jobsByRequest[event.request] = number;
 }
 
-void FleetDispatcher::replaceJob(const JobId &id, TimePoint now, FleetActions &actions)
+void FleetDispatcher::replaceJob(const JobId &id, const std::optional<VmId> &offeredBy,
+                                 TimePoint now, FleetActions &actions)
 {
-    // A caller that resubmits a job no longer waits for the answer to the former request.
+    // A caller that resubmits a job, here or at another VM, no longer waits for the answer to the
+    // former request. The VM that has it may not have noticed yet.
+    std::vector<JobNumber> offered;
+    for (const auto &[offer, number] : m_jobsByOffer) {
+        if (offer.first != offeredBy && m_jobs.at(number).spec.id == id) {
+            offered.push_back(number);
+        }
+    }
+    for (const JobNumber it : offered) {
+        endJob(it, JobBrokenOff{BreakOffReason::Resubmitted}, now, actions);
+    }
     if (const auto it = m_jobsById.find(id); it != m_jobsById.end()) {
         endJob(it->second, JobBrokenOff{BreakOffReason::Resubmitted}, now, actions);
     }
@@ -240,10 +273,11 @@
     const auto answer = [&](OfferResult result) {
         actions.emplace_back(SendToVm{event.from, TaskOfferEnded{offer.number, result}});
     };
-    if (m_stopAt || m_keptUpstreams.empty() || offer.tasks.empty()
+    if (m_stopAt || m_keptUpstreams.empty() || !isValidOffer(offer)
         || m_staleLinks.contains(event.from)) {
         return answer(OfferResult::NotRun);
     }
+    replaceJob(offer.job.id, event.from, now, actions);
     const JobNumber number = addJob(offer.job, OfferOrigin{event.from, offer.number}, offer.tasks,
                                     offer.firstRun, now);
     m_jobs.at(number).firstStartLimit = offeredStartLimit(now);
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -545,6 +545,58 @@
     BOOST_TEST(take<StartOrder>().size() == 1);
 }
 
+// Guards against two simultaneous runs of a task: the caller's connection to this VM broke
+// unnoticed, and the caller submitted the job again to a VM that offers its tasks to this one.
+BOOST_AUTO_TEST_CASE(endsAJobThatAnotherVmOffers)
+{
+    submit(1, job("one", 1, 300ms));
+    confirmStarts();
+    send(PeerLinkChanged{VmId{"b"}, true});
+    send(PeerLinkChanged{VmId{"c"}, true});
+    send(OfferReceived{VmId{"b"}, TaskOffer{5, job("one", 2, 300ms), {0}, 1}});
+    BOOST_TEST(take<StopOrder>().size() == 1);
+    const auto answers = take<AnswerJob>();
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST(std::holds_alternative<JobBrokenOff>(answers[0].end));
+    pass(50ms);
+    BOOST_TEST(take<StartOrder>().empty());
+    endActiveRuns(RunEndKind::Stopped);
+    confirmStarts();
+    BOOST_TEST(active.size() == 1);
+    // Another part of the same job does not end the first one.
+    send(OfferReceived{VmId{"b"}, TaskOffer{6, job("one", 2, 300ms), {1}, 1}});
+    BOOST_TEST(take<StopOrder>().empty());
+    // The caller has turned to a third VM.
+    send(OfferReceived{VmId{"c"}, TaskOffer{7, job("one", 2, 300ms), {0}, 1}});
+    BOOST_TEST(take<StopOrder>().size() == 2);
+}
+
+// Guards against an offer of a faulty VM that takes all memory, overflows a time or starts a task
+// twice.
+BOOST_AUTO_TEST_CASE(returnsOffersWithInvalidValues)
+{
+    send(PeerLinkChanged{VmId{"b"}, true});
+    const auto offer = [&](const auto &change) {
+        TaskOffer it{5, job("offered", 2, 100ms), {0, 1}, 1};
+        change(it);
+        send(OfferReceived{VmId{"b"}, it});
+        const auto sent = take<SendToVm>();
+        return sent.size() == 1
+               && std::get<TaskOfferEnded>(sent[0].message).result == OfferResult::NotRun;
+    };
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks = {}; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks = {1, 1}; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks = {2}; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks.resize(4'000'000); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.firstRun = 0xFFFF'FFFF; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.deadline = Duration::max(); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.objective = Duration::min(); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.estimate = Duration::max(); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.estimate = -1ms; }));
+    BOOST_TEST(take<StartOrder>().empty());
+    BOOST_TEST(!offer([](TaskOffer &) {}));
+}
+
 // Guards against an upstream without a keeper after the answer to its release was lost: its row
 // still names this VM, which no longer uses it, so no VM claimed it.
 BOOST_AUTO_TEST_CASE(releasesAnUpstreamAgainAfterALostAnswer)
