--- a/include/rattandock/core/peer_message.hpp
+++ b/include/rattandock/core/peer_message.hpp
@@ -124,7 +124,8 @@
         std::variant<Heartbeat, ForwardJob, ForwardedAnswer, SlotRequest, SlotGrant, SlotRelease,
                      HandoverRecords, HandoverPointer, ConfigurationDelta, fleet::TaskOffer,
                      fleet::TaskOfferEnded, fleet::TaskOfferWithdrawn, fleet::UpstreamChanges,
-                     fleet::EvacuationState, fleet::QueuedTaskOffer, fleet::TasksReturned>;
+                     fleet::EvacuationState, fleet::QueuedTaskOffer, fleet::TasksReturned,
+                     fleet::UpstreamSuspicion>;
 
 /// Returns the stable name of the message's type for metrics and logs.
 std::string_view name(const PeerMessage &message);
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -95,7 +95,7 @@
 {
     VmId vm;
     std::variant<TaskOffer, TaskOfferEnded, TaskOfferWithdrawn, EvacuationState, QueuedTaskOffer,
-                 TasksReturned>
+                 TasksReturned, UpstreamSuspicion>
             message;
 };
 
@@ -141,8 +141,12 @@
     /// This VM learned that the operator evacuates a zone, or no longer does.
     EvacuationRequested,
     EvacuationWithdrawn,
+    /// A new keeper starts from what the previous one knew of the upstream.
+    SuspicionAdopted,
+    /// Most upstreams of a zone are quarantined, or no longer.
+    QuarantineWidespread,
 };
-inline constexpr std::size_t fleetLogRecordKindCount = 18;
+inline constexpr std::size_t fleetLogRecordKindCount = 20;
 std::string_view name(FleetLogRecordKind kind);
 
 /// A decision with its inputs. It is logged and counted by kind and reason.
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -193,6 +193,13 @@
         /// When the entry was first missing from the list; unset while it is present.
         std::optional<TimePoint> unlistedSince;
     };
+    /// A suspicion that another VM reported.
+    struct ReportedSuspicion
+    {
+        UpstreamProcessStart processStart;
+        UpstreamTrust trust;
+        TimePoint lastFailure;
+    };
     using Jobs = std::map<JobNumber, Job>;
 
     void handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions);
@@ -209,12 +216,14 @@
     void handleEvent(const RunReportReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const RunReportFailed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const PeerLinkChanged &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const PeerInputClosed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const PeerCapacityReported &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferEnded &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferWithdrawn &event, TimePoint now, FleetActions &actions);
     void handleEvent(const EvacuationStateReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferedTasksReturned &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const SuspicionReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamProbed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const StopRequested &event, TimePoint now, FleetActions &actions);
     void handleEvent(const ProcessPaused &event, TimePoint now, FleetActions &actions);
@@ -233,6 +242,11 @@
     /// Writes the claim or release of upstreams to the store, one conditional write per zone.
     void writeKeepers(const std::vector<UpstreamId> &upstreams, bool claim, TimePoint now,
                       FleetActions &actions);
+    /// Returns true if the row names this process.
+    bool isOwnRow(const KeeperRow &row) const
+    {
+        return row.vm == m_options.vm && row.incarnation == m_options.incarnation;
+    }
     /// Stops keeping an upstream and requeues the tasks that ran there.
     void dropUpstream(const UpstreamId &id, std::string_view reason, TimePoint now,
                       FleetActions &actions);
@@ -269,6 +283,17 @@
     /// Returns true if this VM keeps upstreams and all of them are in evacuated zones.
     bool areKeptUpstreamsEvacuated() const;
 
+    // Trust in upstreams (fleet_dispatcher_trust.cpp).
+    /// Records what a run shows about the upstream, and reports a change to the VMs of its zone.
+    void recordRunResult(const UpstreamId &upstream, const TaskRef &run, bool hasSucceeded,
+                         std::string_view reason, TimePoint now, FleetActions &actions);
+    /// Sends what is known of a kept upstream to the linked VMs of its zone.
+    void sendSuspicion(const UpstreamId &upstream, TimePoint now, FleetActions &actions);
+    /// Starts from what the previous keeper knew, once the upstream has reported its process.
+    void adoptSuspicion(const UpstreamId &upstream, TimePoint now, FleetActions &actions);
+    /// Drops expired suspicions and updates which zones have mostly quarantined upstreams.
+    void updateSuspicions(TimePoint now, FleetActions &actions);
+
     // Runs (fleet_dispatcher_runs.cpp).
     /// Completes, fails or requeues the task whose run has ended.
     void handleRunEnd(const UpstreamId &upstream, const RunEnded &over, TimePoint now,
@@ -281,7 +306,7 @@
     static void forgetRefusedStart(Job &job, Task &task, OrderResult reason);
     void completeTask(JobNumber number, Job &job, Task &task, FleetActions &actions);
     void requeueTask(Job &job, Task &task, TimePoint notBefore);
-    /// Reports overdue runs to the upstream watch and restarts those that can still end in time.
+    /// Counts overdue runs against their upstream and restarts those that can still end in time.
     void handleOverdueRuns(TimePoint now, FleetActions &actions);
     /// Starts the waiting tasks of one job that fit on kept upstreams if `canStartHere` is set, and
     /// offers the rest. `ownWait`: expected time until this VM has worked off the jobs that go
@@ -350,8 +375,10 @@
                   TimePoint now, FleetActions &actions);
     /// Stops the running tasks of a job and withdraws its offers.
     void stopTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions);
-    /// Ends the unfinished job with the same id when the caller submits it again.
-    void replaceJob(const JobId &id, TimePoint now, FleetActions &actions);
+    /// Ends the unfinished jobs with the same id when the caller submits it again, here or at the
+    /// VM that offers its tasks. Jobs that this VM offered before stay: they are parts of one job.
+    void replaceJob(const JobId &id, const std::optional<VmId> &offeredBy, TimePoint now,
+                    FleetActions &actions);
 
     // Queue (fleet_dispatcher_queue.cpp).
     /// Expected run times relative to a job's estimate.
@@ -430,6 +457,9 @@
     std::set<UpstreamId> m_unlistedUpstreams;
     std::map<UpstreamId, KeeperRow> m_keepers;
     std::map<UpstreamId, KeptUpstream> m_keptUpstreams;
+    /// Epochs of upstreams that this VM ceased to keep and whose rows have not changed since. Such
+    /// a row may still name this VM, if its release was not written.
+    std::map<UpstreamId, std::uint64_t> m_abandonedEpochs;
     /// Zones with a write of keeper rows in flight; at most one per zone.
     std::set<ZoneId> m_zonesBeingWritten;
     /// When an upstream of another zone was last reached.
@@ -449,6 +479,10 @@
     QueueProfiles m_queueProfiles;
     EstimateCorrection m_estimates;
     UpstreamQuarantine m_upstreamWatch;
+    /// What the keepers of other upstreams reported of them.
+    std::map<UpstreamId, ReportedSuspicion> m_suspicions;
+    /// Zones in which most of the kept upstreams are quarantined.
+    std::set<ZoneId> m_zonesMostlyQuarantined;
     Jobs m_jobs;
     std::unordered_map<JobId, JobNumber> m_jobsById;
     std::unordered_map<CallerRequestId, JobNumber> m_jobsByRequest;
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -138,6 +138,13 @@
     bool isUp = false;
 };
 
+/// The connection over which another VM sent its messages ended. The link to that VM may still be
+/// up. Task offers between the two VMs are cancelled, as the other end cancels its part.
+struct PeerInputClosed
+{
+    VmId vm;
+};
+
 /// A heartbeat from another VM was received.
 struct PeerCapacityReported
 {
@@ -189,6 +196,13 @@
     TasksReturned returned;
 };
 
+/// Another VM of the zone reported how far it trusts an upstream.
+struct SuspicionReceived
+{
+    VmId from;
+    UpstreamSuspicion suspicion;
+};
+
 /// A ProbeUpstream action ended.
 struct UpstreamProbed
 {
@@ -216,8 +230,9 @@
         std::variant<JobSubmitted, CallerDisconnected, UpstreamListRead, UpstreamListReadFailed,
                      EvacuationsRead, EvacuationsReadFailed, MembersRead, KeepersRead,
                      KeeperWriteCompleted, StartOrderCompleted, StopOrderCompleted,
-                     RunReportReceived, RunReportFailed, PeerLinkChanged, PeerCapacityReported,
-                     OfferReceived, OfferEnded, OfferWithdrawn, EvacuationStateReceived,
-                     OfferedTasksReturned, UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
+                     RunReportReceived, RunReportFailed, PeerLinkChanged, PeerInputClosed,
+                     PeerCapacityReported, SuspicionReceived, OfferReceived, OfferEnded,
+                     OfferWithdrawn, EvacuationStateReceived, OfferedTasksReturned, UpstreamProbed,
+                     StopRequested, ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -114,6 +114,12 @@
             {"evacuation_withdrawn",
              "Ends of evacuations that this VM learned of, by source.",
              {"store", "peer"}},
+            {"suspicion_adopted",
+             "Upstreams of which the previous keeper was suspicious.",
+             {"quarantined", "limited", "trusted"}},
+            {"quarantine_widespread",
+             "Changes between few and most upstreams of a zone in quarantine.",
+             {"began", "ended"}},
             {"configuration_in_force", "Configurations that came into force.", {"accepted"}},
     };
 }
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -111,6 +111,20 @@
     return std::tie(version, zones, age);
 }
 
+template <Is<fleet::UpstreamTrust> T>
+auto fields(T &it)
+{
+    auto &[level, runLimit, pause] = it;
+    return std::tie(level, runLimit, pause);
+}
+
+template <Is<fleet::UpstreamSuspicion> T>
+auto fields(T &it)
+{
+    auto &[upstream, processStart, state, age] = it;
+    return std::tie(upstream, processStart, state, age);
+}
+
 template <Is<core::Resources> T>
 auto fields(T &it)
 {
@@ -232,5 +246,7 @@
 inline constexpr std::size_t enumeratorCount<core::UnknownReason> = core::unknownReasonCount;
 template <>
 inline constexpr std::size_t enumeratorCount<fleet::OfferResult> = fleet::offerResultCount;
+template <>
+inline constexpr std::size_t enumeratorCount<fleet::TrustLevel> = fleet::trustLevelCount;
 
 } // namespace rattandock::adapters::detail
--- a/src/rattandock/adapters/fleet_rows_json.cpp
+++ b/src/rattandock/adapters/fleet_rows_json.cpp
@@ -63,6 +63,7 @@
         row.weight = reader.number("weight", 0.001, 1024).value_or(1);
         row.draining = reader.boolean("draining").value_or(false);
         row.beat = static_cast<std::uint64_t>(reader.integer("beat", 0, maxInteger).value_or(0));
+        // Absent in rows of older builds.
         row.messageLevel = static_cast<std::uint32_t>(
                 reader.integer("messageLevel", 0, maxMessageLevel).value_or(0));
         return row;
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -206,8 +206,15 @@
     case 14:
         return fleet::QueuedTaskOffer{{number(), fleetJob(), listOf(shortNumber), shortNumber()},
                                       duration()};
-    default:
+    case 15:
         return fleet::TasksReturned{number(), listOf(shortNumber), shortNumber()};
+    default:
+        return fleet::UpstreamSuspicion{
+                UpstreamId{text()},
+                fleet::UpstreamProcessStart{number()},
+                {static_cast<fleet::TrustLevel>(below(fleet::trustLevelCount)), shortNumber(),
+                 duration()},
+                duration()};
     }
 }
 
@@ -315,6 +322,13 @@
     return version == b.version && zones == b.zones && age == b.age;
 }
 
+bool same(const fleet::UpstreamSuspicion &a, const fleet::UpstreamSuspicion &b)
+{
+    const auto &[upstream, processStart, state, age] = a;
+    return upstream == b.upstream && processStart == b.processStart && state == b.state
+           && age == b.age;
+}
+
 bool same(const core::PeerMessage &a, const core::PeerMessage &b)
 {
     return a.index() == b.index()
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -272,6 +272,9 @@
                           [&](const fleet::EvacuationState &it) {
                               post(fleet::EvacuationStateReceived{event.from, it});
                           },
+                          [&](const fleet::UpstreamSuspicion &it) {
+                              post(fleet::SuspicionReceived{event.from, it});
+                          },
                           [&](const fleet::UpstreamChanges &it) {
                               // Notices a pause first.
                               post(fleet::TimerDue{});
--- a/src/rattandock/core/peer_message.cpp
+++ b/src/rattandock/core/peer_message.cpp
@@ -10,7 +10,8 @@
             "heartbeat",           "forward-job",      "forwarded-answer",  "slot-request",
             "slot-grant",          "slot-release",     "handover-records",  "handover-pointer",
             "configuration-delta", "task-offer",       "task-offer-ended",  "task-offer-withdrawn",
-            "upstream-changes",    "evacuation-state", "queued-task-offer", "tasks-returned"};
+            "upstream-changes",    "evacuation-state", "queued-task-offer", "tasks-returned",
+            "upstream-suspicion"};
     return names.at(message.index());
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -53,6 +53,7 @@
         expireUnlisted(now, actions);
         m_endingRuns.expire(now);
         refuseUnservedJobs(now, actions);
+        updateSuspicions(now, actions);
     }
     stepLedgers(now, actions);
     dispatch(now, actions);
@@ -185,6 +186,12 @@
     endOffersOf(event.vm, now, actions);
 }
 
+void FleetDispatcher::handleEvent(const PeerInputClosed &event, TimePoint now,
+                                  FleetActions &actions)
+{
+    endOffersOf(event.vm, now, actions);
+}
+
 void FleetDispatcher::handleEvent(const PeerCapacityReported &event, TimePoint now,
                                   FleetActions &actions)
 {
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -50,7 +50,7 @@
 
 void FleetDispatcher::handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions)
 {
-    replaceJob(event.job.id, now, actions);
+    replaceJob(event.job.id, std::nullopt, now, actions);
     FleetJob job = event.job;
     predictRunTime(job);
     const CoreWork work = expectedWork(job, job.taskCount);
@@ -68,9 +68,20 @@
     m_jobsByRequest[event.request] = number;
 }
 
-void FleetDispatcher::replaceJob(const JobId &id, TimePoint now, FleetActions &actions)
+void FleetDispatcher::replaceJob(const JobId &id, const std::optional<VmId> &offeredBy,
+                                 TimePoint now, FleetActions &actions)
 {
-    // A caller that resubmits a job no longer waits for the answer to the former request.
+    // A caller that resubmits a job, here or at another VM, no longer waits for the answer to the
+    // former request. The VM that has it may not have noticed yet.
+    std::vector<JobNumber> offered;
+    for (const auto &[offer, number] : m_jobsByOffer) {
+        if (offer.first != offeredBy && m_jobs.at(number).spec.id == id) {
+            offered.push_back(number);
+        }
+    }
+    for (const JobNumber it : offered) {
+        endJob(it, JobBrokenOff{BreakOffReason::Resubmitted}, now, actions);
+    }
     if (const auto it = m_jobsById.find(id); it != m_jobsById.end()) {
         endJob(it->second, JobBrokenOff{BreakOffReason::Resubmitted}, now, actions);
     }
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -27,15 +27,23 @@
 /// on times or take much memory. The submission codec accepts jobs of up to 10,000 tasks, and
 /// callers wait for seconds.
 constexpr std::size_t maxOfferedTasks = 10'000;
+constexpr std::uint32_t maxOfferedRun = 1'000'000;
 constexpr Duration maxOfferedTime = std::chrono::hours{1};
 
 bool isPlausible(const OfferReceived &event)
 {
-    const FleetJob &job = event.offer.job;
+    const TaskOffer &offer = event.offer;
+    const FleetJob &job = offer.job;
     const auto isShort = [](Duration it) { return it <= maxOfferedTime && it >= -maxOfferedTime; };
-    return !event.offer.tasks.empty() && event.offer.tasks.size() <= maxOfferedTasks
-           && isShort(job.deadline) && isShort(job.objective) && isShort(job.estimate)
-           && isShort(event.startWithin.value_or(Duration{}));
+    if (offer.tasks.empty() || offer.tasks.size() > maxOfferedTasks || offer.firstRun == 0
+        || offer.firstRun > maxOfferedRun || job.estimate < Duration{} || !isShort(job.estimate)
+        || !isShort(job.deadline) || !isShort(job.objective)
+        || !isShort(event.startWithin.value_or(Duration{}))) {
+        return false;
+    }
+    std::vector<std::uint32_t> tasks = offer.tasks;
+    std::ranges::sort(tasks);
+    return tasks.back() < job.taskCount && std::ranges::adjacent_find(tasks) == tasks.end();
 }
 
 Duration scaled(Duration time, double factor)
@@ -154,6 +162,7 @@
                 SendToVm{event.from, TaskOfferEnded{offer.number, OfferResult::NotRun}});
         return;
     }
+    replaceJob(offer.job.id, event.from, now, actions);
     FleetJob spec = offer.job;
     predictRunTime(spec);
     const JobNumber number = addJob(std::move(spec), OfferOrigin{event.from, offer.number},
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -75,7 +75,9 @@
         const UpstreamEntry &entry = kept.ledger.entry();
         const bool isUseful = 100 * m_runTimes.factor(id, upstreamKind(entry)) <= maxPercent;
         if (entry.service == job.service && isUseful && mayPlaceOn(kept, now)) {
-            places += kept.ledger.freeRoom().cpu.value() / std::max(job.need.cpu.value(), 1U);
+            const std::size_t fitting =
+                    kept.ledger.freeRoom().cpu.value() / std::max(job.need.cpu.value(), 1U);
+            places += std::min(fitting, m_upstreamWatch.startsLeft(id, now));
         }
     }
     return places;
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -132,13 +132,21 @@
         }
         answerLook(report);
     }
-    void keepUpstream(const std::string &id)
+    void listUpstream(const std::string &id)
     {
         UpstreamEntry other = entry();
         other.id = UpstreamId{id};
         send(UpstreamListRead{{other}, {}, false, now});
-        send(KeepersRead{{KeeperRow{other.id, zone, self, incarnation, 1, ++keeperVersion}}});
-        answerOtherLook(other.id, PollNumber{1});
+    }
+    void keepUpstream(const std::string &id)
+    {
+        listUpstream(id);
+        send(KeepersRead{{KeeperRow{UpstreamId{id}, zone, self, incarnation, 1, ++keeperVersion}}});
+        answerOtherLook(UpstreamId{id}, PollNumber{1});
+        // A claim that was sent before the row was read has failed.
+        if (!take<WriteKeepers>().empty()) {
+            send(KeeperWriteCompleted{zone, false, {}});
+        }
     }
     void answerOtherLook(const UpstreamId &id, PollNumber number)
     {
@@ -158,6 +166,59 @@
                                         ++keeperVersion}}});
         }
     }
+    void submitSmall(std::uint64_t request, const std::string &id, std::uint32_t tasks)
+    {
+        FleetJob small = job(id, tasks, 300ms);
+        small.need.cpu = MilliCores{8'000};
+        submit(request, small);
+    }
+    /// Two jobs fail on the upstream.
+    void quarantineUpstream(RunEndKind kind)
+    {
+        for (std::uint64_t n = 1; n <= 2; ++n) {
+            FleetJob fails = job("fails-" + std::to_string(n), 1, 300ms);
+            fails.maxAttempts = 1;
+            submit(n, fails);
+            confirmStarts();
+            endActiveRuns(kind);
+        }
+        take<StartOrder>();
+    }
+    /// The first row of a write of keeper rows, and the row that it replaces.
+    struct KeeperWrite
+    {
+        KeeperRow row;
+        KeeperRow replaced;
+    };
+    /// Waits for a write of keeper rows while `otherVm`, if named, is alive and keeps nothing.
+    KeeperWrite waitForWrite(const std::string &otherVm)
+    {
+        std::vector<MemberRow> rows{{self, incarnation, zone, "127.0.0.1:1"}};
+        if (!otherVm.empty()) {
+            rows.push_back({VmId{otherVm}, Incarnation{9}, zone, "127.0.0.1:3", 1, false, 1});
+            send(PeerLinkChanged{VmId{otherVm}, true});
+        } else {
+            send(PeerLinkChanged{VmId{"b"}, false});
+        }
+        send(MembersRead{rows, zone});
+        for (int n = 0; n < 100; ++n) {
+            pass(10ms);
+            for (const WriteKeepers &it : take<WriteKeepers>()) {
+                const KeeperRow &row = it.rows.front();
+                return {row, KeeperRow{row.upstream, zone, self, incarnation, row.epoch - 1,
+                                       row.version}};
+            }
+        }
+        BOOST_FAIL("no keeper rows were written");
+        return {};
+    }
+    void linkVm(const std::string &id, std::uint32_t messageLevel)
+    {
+        MemberRow row{VmId{id}, Incarnation{9}, zone, "127.0.0.1:3", 1, false, 1, messageLevel};
+        send(MembersRead{std::vector{MemberRow{self, incarnation, zone, "127.0.0.1:1"}, row},
+                         ZoneId{"other-" + id}});
+        send(PeerLinkChanged{row.vm, true});
+    }
     void submit(std::uint64_t request, const FleetJob &job)
     {
         send(JobSubmitted{CallerRequestId{request}, job});
@@ -178,6 +239,7 @@
     /// Open polls and active runs of upstreams other than `upstream`.
     std::map<UpstreamId, PollNumber> otherLooks;
     std::map<UpstreamId, std::vector<ActiveRun>> otherActive;
+    std::uint64_t lastRequest = 100;
     std::uint64_t lastEnd = 0;
     std::uint64_t keeperVersion = 1;
 };
@@ -497,4 +559,201 @@
     BOOST_TEST(take<StartOrder>().size() == 1);
 }
 
+// Guards against two simultaneous runs of a task: the caller's connection to this VM broke
+// unnoticed, and the caller submitted the job again to a VM that offers its tasks to this one.
+BOOST_AUTO_TEST_CASE(endsAJobThatAnotherVmOffers)
+{
+    submit(1, job("one", 1, 300ms));
+    confirmStarts();
+    send(PeerLinkChanged{VmId{"b"}, true});
+    send(PeerLinkChanged{VmId{"c"}, true});
+    send(OfferReceived{VmId{"b"}, TaskOffer{5, job("one", 2, 300ms), {0}, 1}});
+    BOOST_TEST(take<StopOrder>().size() == 1);
+    const auto answers = take<AnswerJob>();
+    BOOST_REQUIRE(answers.size() == 1);
+    BOOST_TEST(std::holds_alternative<JobBrokenOff>(answers[0].end));
+    pass(50ms);
+    BOOST_TEST(take<StartOrder>().empty());
+    endActiveRuns(RunEndKind::Stopped);
+    confirmStarts();
+    BOOST_TEST(active.size() == 1);
+    // Another part of the same job does not end the first one.
+    send(OfferReceived{VmId{"b"}, TaskOffer{6, job("one", 2, 300ms), {1}, 1}});
+    BOOST_TEST(take<StopOrder>().empty());
+    // The caller has turned to a third VM.
+    send(OfferReceived{VmId{"c"}, TaskOffer{7, job("one", 2, 300ms), {0}, 1}});
+    BOOST_TEST(take<StopOrder>().size() == 2);
+}
+
+// Guards against an offer of a faulty VM that takes all memory, overflows a time or starts a task
+// twice.
+BOOST_AUTO_TEST_CASE(returnsOffersWithInvalidValues)
+{
+    send(PeerLinkChanged{VmId{"b"}, true});
+    const auto offer = [&](const auto &change) {
+        TaskOffer it{5, job("offered", 2, 100ms), {0, 1}, 1};
+        change(it);
+        send(OfferReceived{VmId{"b"}, it});
+        const auto sent = take<SendToVm>();
+        return sent.size() == 1
+               && std::get<TaskOfferEnded>(sent[0].message).result == OfferResult::NotRun;
+    };
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks = {}; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks = {1, 1}; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks = {2}; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.tasks.resize(4'000'000); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.firstRun = 0xFFFF'FFFF; }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.deadline = Duration::max(); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.objective = Duration::min(); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.estimate = Duration::max(); }));
+    BOOST_TEST(offer([](TaskOffer &it) { it.job.estimate = -1ms; }));
+    BOOST_TEST(take<StartOrder>().empty());
+    BOOST_TEST(!offer([](TaskOffer &) {}));
+}
+
+// Guards against an upstream without a keeper after the answer to its release was lost: its row
+// still names this VM, which no longer uses it, so no VM claimed it.
+BOOST_AUTO_TEST_CASE(releasesAnUpstreamAgainAfterALostAnswer)
+{
+    keepSecondUpstream();
+    const KeeperWrite first = waitForWrite("b");
+    BOOST_TEST(first.row.vm.value().empty());
+    // The write was not committed and its answer is lost.
+    send(KeeperWriteCompleted{zone, std::nullopt, {}});
+    const KeeperWrite second = waitForWrite("b");
+    BOOST_TEST((second.row == first.row));
+    // The conflict returns the row of before the release. Its epoch must not be used again.
+    send(KeeperWriteCompleted{zone, false, {first.replaced}});
+    BOOST_TEST(dispatcher.status().keptUpstreams == 1);
+    // The other VM has left meanwhile, so this VM claims the upstream.
+    const KeeperWrite third = waitForWrite("");
+    BOOST_TEST(third.row.vm.value() == "a");
+    BOOST_TEST(third.row.epoch > first.replaced.epoch);
+    KeeperRow claimed = third.row;
+    claimed.version = 100;
+    send(KeeperWriteCompleted{zone, true, {claimed}});
+    BOOST_TEST(dispatcher.status().keptUpstreams == 2);
+}
+
+// Guards against an upstream without a keeper after the answer to its claim was lost.
+BOOST_AUTO_TEST_CASE(keepsAnUpstreamAfterTheAnswerToItsClaimWasLost)
+{
+    listUpstream("second");
+    const KeeperWrite claim = waitForWrite("");
+    BOOST_TEST(claim.row.upstream.value() == "second");
+    send(KeeperWriteCompleted{zone, std::nullopt, {}});
+    // The write may or may not be committed, so nothing is started before its row is read.
+    BOOST_TEST(dispatcher.status().keptUpstreams == 1);
+    KeeperRow written = claim.row;
+    written.version = 7;
+    send(KeepersRead{{written}});
+    BOOST_TEST(dispatcher.status().keptUpstreams == 2);
+    pass(600ms);
+    BOOST_TEST(take<WriteKeepers>().empty());
+}
+
+// Guards against tasks that run on for a VM that has ended their job. Its connection to this VM was
+// closed after a silence of this VM, while the link from this VM to it survived.
+BOOST_AUTO_TEST_CASE(stopsOfferedTasksWhenTheInputOfThePeerEnds)
+{
+    send(PeerLinkChanged{VmId{"b"}, true});
+    send(OfferReceived{VmId{"b"}, TaskOffer{5, job("offered", 2, 300ms), {0, 1}, 1}});
+    confirmStarts();
+    send(PeerInputClosed{VmId{"b"}});
+    BOOST_TEST(take<StopOrder>().size() == 2);
+    // Jobs offered to that VM end too, as its answer can't arrive.
+    send(PeerCapacityReported{VmId{"b"}, zone, false, {{{64'000, 100}}, 100, 64'000, 0}});
+    submit(1, job("mine", 2, 300ms));
+    BOOST_TEST(take<AnswerJob>().empty());
+    send(PeerInputClosed{VmId{"b"}});
+    const auto answers = take<AnswerJob>();
+    BOOST_REQUIRE(answers.size() == 1);
+    const auto *const end = std::get_if<JobBrokenOff>(&answers[0].end);
+    BOOST_REQUIRE(end != nullptr);
+    BOOST_TEST((end->reason == BreakOffReason::PeerLost));
+}
+
+// Guards against an upstream that fails again right after a successful probe and takes as many runs
+// as it has room for.
+BOOST_AUTO_TEST_CASE(limitsTheRunsAfterAProbe)
+{
+    quarantineUpstream(RunEndKind::Failed);
+    pass(800ms);
+    submitSmall(10, "probe", 1);
+    confirmStarts();
+    BOOST_REQUIRE(active.size() == 1);
+    endActiveRuns(RunEndKind::Done);
+    submitSmall(11, "wide", 6);
+    BOOST_TEST(take<StartOrder>().size() == 2);
+}
+
+// Guards against a probe at every start delay on an upstream that refuses each start as unhealthy.
+BOOST_AUTO_TEST_CASE(pausesAnUpstreamThatRefusesItsProbe)
+{
+    quarantineUpstream(RunEndKind::Failed);
+    pass(800ms);
+    submitSmall(10, "probe", 1);
+    std::size_t starts = 0;
+    for (int n = 0; n < 100; ++n) {
+        for (const StartOrder &it : take<StartOrder>()) {
+            ++starts;
+            send(StartOrderCompleted{upstream, it.name, it.number, OrderResult::Unhealthy,
+                                     std::nullopt});
+        }
+        pass(5ms);
+    }
+    BOOST_TEST(starts == 1);
+}
+
+// Guards against a new keeper that learns by lost runs what the previous one knew.
+BOOST_AUTO_TEST_CASE(passesOnWhatItKnowsOfAnUpstream)
+{
+    linkVm("b", ownMessageLevel);
+    linkVm("old", 0);
+    take<SendToVm>();
+    quarantineUpstream(RunEndKind::Failed);
+    const auto sent = take<SendToVm>();
+    // A VM that doesn't know the message would close the link.
+    BOOST_REQUIRE(sent.size() == 1);
+    BOOST_TEST(sent[0].vm.value() == "b");
+    const auto quarantined = std::get<UpstreamSuspicion>(sent[0].message);
+    BOOST_TEST(quarantined.upstream.value() == "u");
+    BOOST_TEST((quarantined.processStart == UpstreamProcessStart{1}));
+    BOOST_TEST((quarantined.state.level == TrustLevel::Quarantined));
+    pass(100ms);
+    loseUpstreams();
+    const auto released = take<SendToVm>();
+    BOOST_REQUIRE(released.size() == 1);
+    const auto last = std::get<UpstreamSuspicion>(released[0].message);
+    BOOST_TEST((last.state == quarantined.state));
+    BOOST_TEST((last.age >= 100ms));
+}
+
+// Guards against the same at the receiving VM, and against a suspicion that outlives its time or
+// the process of the upstream.
+BOOST_AUTO_TEST_CASE(startsFromTheSuspicionOfThePreviousKeeper)
+{
+    const UpstreamTrust trust{TrustLevel::Quarantined, 0, 1400ms};
+    const auto startsOn = [&](const std::string &id, UpstreamProcessStart process, Duration age) {
+        linkVm("b", ownMessageLevel);
+        loseUpstreams();
+        listUpstream(id);
+        send(SuspicionReceived{VmId{"b"}, {UpstreamId{id}, process, trust, age}});
+        keepUpstream(id);
+        take<StartOrder>();
+        submitSmall(++lastRequest, id, 1);
+        return take<StartOrder>().size();
+    };
+    BOOST_TEST(startsOn("second", UpstreamProcessStart{1}, 300ms) == 0);
+    pass(1000ms);
+    submitSmall(++lastRequest, "early", 1);
+    BOOST_TEST(take<StartOrder>().empty());
+    pass(150ms);
+    submitSmall(++lastRequest, "later", 1);
+    BOOST_TEST(take<StartOrder>().size() == 1);
+    BOOST_TEST(startsOn("other-process", UpstreamProcessStart{2}, 300ms) == 1);
+    BOOST_TEST(startsOn("too-old", UpstreamProcessStart{1}, 10s) == 1);
+    BOOST_TEST(startsOn("negative-age", UpstreamProcessStart{1}, -1s) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -168,7 +168,13 @@
         return;
     }
     m_keepers[row.upstream] = row;
-    const bool isOwnKeeper = row.vm == m_options.vm && row.incarnation == m_options.incarnation;
+    const auto abandoned = m_abandonedEpochs.find(row.upstream);
+    // The new ledger would send lower fencing tokens than the former one of the same epoch.
+    const bool isAbandoned = abandoned != m_abandonedEpochs.end() && row.epoch <= abandoned->second;
+    const bool isOwnKeeper = isOwnRow(row) && !isAbandoned;
+    if (!isAbandoned && abandoned != m_abandonedEpochs.end()) {
+        m_abandonedEpochs.erase(abandoned);
+    }
     const auto kept = m_keptUpstreams.find(row.upstream);
     if (kept != m_keptUpstreams.end()
         && (!isOwnKeeper || kept->second.ledger.epoch() != row.epoch)) {
@@ -193,11 +199,13 @@
 void FleetDispatcher::dropUpstream(const UpstreamId &id, std::string_view reason, TimePoint now,
                                    FleetActions &actions)
 {
+    sendSuspicion(id, now, actions);
     auto node = m_keptUpstreams.extract(id);
     if (node.empty()) {
         return;
     }
     UpstreamLedger &ledger = node.mapped().ledger;
+    m_abandonedEpochs[id] = ledger.epoch();
     if (ledger.runCount() > 0) {
         actions.emplace_back(
                 FleetLogRecord{FleetLogRecordKind::UpstreamLost,
@@ -257,6 +265,7 @@
         LedgerOutputs outputs;
         kept->second.ledger.pollAnswered(event.number, event.report, now, outputs);
         applyLedgerOutputs(event.upstream, outputs, now, actions);
+        adoptSuspicion(event.upstream, now, actions);
     }
 }
 
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -376,6 +376,9 @@
                     [&](const EvacuationState &it) {
                         post(to, m_vms[to].process, EvacuationStateReceived{sender, it},
                              networkDelay);
+                    },
+                    [&](const UpstreamSuspicion &it) {
+                        post(to, m_vms[to].process, SuspicionReceived{sender, it}, networkDelay);
                     }},
             message.message);
 }
