--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -123,11 +123,15 @@
             {fleet::MilliCores{shortNumber()}, Megabytes{shortNumber()},
              Accelerators{shortNumber()}},
             duration(),
+            // The prediction is not sent.
+            {},
             text(),
             RackId{text()},
             shortNumber(),
             duration(),
             duration(),
+            // Nor is the stretch.
+            0,
             shortNumber(),
             shortNumber()};
 }
