--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -130,6 +130,25 @@
     BOOST_TEST(waves * 100 >= even * 95);
 }
 
+// Guards against a VM with few upstreams that serves its callers worse than a large one. Its jobs
+// waited until a large VM had no job of its own to give its room to.
+BOOST_AUTO_TEST_CASE(servesCallersOfASmallVmAsWell)
+{
+    double small = 0;
+    double large = 0;
+    constexpr std::uint64_t schedules = 20;
+    for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
+        FleetWorld world{seed,
+                         {.arrivalInterval = std::chrono::milliseconds{80}, .firstVmWeight = 0.1}};
+        world.run(std::chrono::seconds{20});
+        BOOST_TEST(world.violations().empty());
+        small += world.completedShareAt(0) / schedules;
+        large += world.completedShareAt(1) / schedules;
+    }
+    BOOST_TEST_MESSAGE("completed " << small << " at the small VM, " << large << " at the large");
+    BOOST_TEST(small >= 0.9 * large);
+}
+
 // Guards against two concurrent runs of a task, a start beyond the upstream's capacity and a start
 // of a refused job, when orders to upstreams are lost, executed without an answer, or executed 2 to
 // 12 s later.
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -249,8 +249,14 @@
         return;
     }
     if (canReadStore(n) && m_now >= vm.frozenUntil) {
-        m_memberRows[vm.id] = {vm.id, vm.incarnation, vm.zone,   "127.0.0.1:1",
-                               1,     false,          ++vm.beat, ownMessageLevel};
+        m_memberRows[vm.id] = {vm.id,
+                               vm.incarnation,
+                               vm.zone,
+                               "127.0.0.1:1",
+                               n == 0 ? m_faults.firstVmWeight : 1,
+                               false,
+                               ++vm.beat,
+                               ownMessageLevel};
         MembersRead read;
         read.rows.emplace();
         for (const auto &[id, row] : m_memberRows) {
@@ -452,8 +458,10 @@
         return;
     }
     it.isConnected = false;
+    ++m_vms[it.vm].answered;
     std::visit(Overloaded{[&](const JobCompleted &) {
                               ++m_completed;
+                              ++m_vms[it.vm].completed;
                               if (++it.answers > 1) {
                                   reportViolation("two answers for " + it.job.id.value());
                               }
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -68,6 +68,8 @@
     double storeReject = 0;
     /// Share of answers of the store that take 100 to 650 ms.
     double storeSlow = 0;
+    /// Share of the first VM's zone that it keeps, relative to the other VMs.
+    double firstVmWeight = 1;
     /// If positive, all callers use one VM at a time, each for a third of this period.
     Duration wavePeriod{};
 };
@@ -90,6 +92,14 @@
     const std::vector<std::string> &violations() const { return m_violations; }
     std::size_t submitted() const { return m_submitted; }
     std::size_t completed() const { return m_completed; }
+    /// Returns the share of the answered jobs of a VM that completed.
+    double completedShareAt(std::size_t vm) const
+    {
+        const Vm &it = m_vms[vm];
+        return it.answered == 0
+                       ? 0
+                       : static_cast<double>(it.completed) / static_cast<double>(it.answered);
+    }
     std::size_t turnedAway() const { return m_turnedAway; }
     std::size_t brokenOff() const { return m_brokenOff; }
     /// Returns the number of jobs that were broken off although no upstream has started a task.
@@ -147,6 +157,9 @@
         std::uint64_t operatorVersion = 0;
         /// Time for which a TimerDue event is scheduled.
         std::optional<TimePoint> timerAt;
+        /// Jobs that this VM has answered, and those of them that completed.
+        std::size_t answered = 0;
+        std::size_t completed = 0;
     };
     /// A task that runs on an upstream.
     struct Run
