Compare the order by value with the former one on the simulated fleet

Cause: the replay tests only the pure functions. A wrong rate in the dispatcher would refuse jobs that fit, and no test would show it.

--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -149,6 +149,26 @@
     BOOST_TEST(totals.completed > 0);
 }
 
+// Guards against an order by value that serves fewer jobs under overload than the order that holds
+// where all priorities are equal, for example because the rate of this VM is predicted too low.
+BOOST_AUTO_TEST_CASE(completesMoreJobsWhilePrioritiesCompete)
+{
+    const auto completed = [](std::size_t queues) {
+        std::size_t sum = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            FleetWorld world{seed,
+                             {.arrivalInterval = std::chrono::milliseconds{45}, .queues = queues}};
+            world.run(14s);
+            sum += world.completed();
+        }
+        return sum;
+    };
+    const std::size_t former = completed(1);
+    const std::size_t byValue = completed(3);
+    BOOST_TEST_MESSAGE(former << " completed with one priority, " << byValue << " with three");
+    BOOST_TEST(byValue * 10 >= former * 12);
+}
+
 // Guards against the same while VMs are killed or frozen, upstreams crash, connections are
 // interrupted and the store is unavailable.
 BOOST_AUTO_TEST_CASE(keepsPromisesWhileEverythingFails)
