Read the loop's state on its own thread in the tests of the operator's table

Cause: the thread sanitizer reported a data race in FleetSyncTest, as the test read the dispatcher's status, the configuration and the store's counters on the main thread while the loop ran. Change: all reads go through the loop's thread. Conclusion: the race was in the test only.

--- a/src/rattandock/app/fleet_sync_test.cpp
+++ b/src/rattandock/app/fleet_sync_test.cpp
@@ -147,6 +147,14 @@
         });
         done.get_future().wait();
     }
+    /// Returns the function's result. The loop's thread owns the state that it reads.
+    template <typename Function>
+    auto readOnThread(const Function &function)
+    {
+        decltype(function()) result{};
+        onThread([&] { result = function(); });
+        return result;
+    }
     /// Fails the test if the condition does not come true.
     void waitUntil(const std::function<bool()> &condition)
     {
@@ -157,6 +165,7 @@
         }
         BOOST_REQUIRE(isTrue);
     }
+    /// Call it on the loop's thread.
     std::set<ZoneId> evacuatedZones() const
     {
         std::set<ZoneId> zones;
@@ -169,6 +178,14 @@
     {
         waitUntil([&] { return evacuatedZones() == zones; });
     }
+    std::uint64_t configurationVersion()
+    {
+        return readOnThread([this] { return configuration; });
+    }
+    int wholeReads()
+    {
+        return readOnThread([this] { return store.wholeReads[operatorTable]; });
+    }
     void answerNext(const ports::ReadResult &result)
     {
         onThread([&] { store.script.push_back(result); });
@@ -203,7 +220,7 @@
 {
     start();
     waitForZones({zoneA});
-    BOOST_TEST(configuration == 1);
+    BOOST_TEST(configurationVersion() == 1);
     StoreRow otherPart = row("evacuate/c", 11);
     otherPart.part = "p";
     answerNext(StoreRows{
@@ -224,8 +241,8 @@
     onThread([&] { first = loop.dispatcher().status().evacuationsAsOf; });
     BOOST_REQUIRE(first.has_value());
     waitUntil([&] { return loop.dispatcher().status().evacuationsAsOf > first; });
-    BOOST_TEST(store.wholeReads[operatorTable] == 1);
-    BOOST_TEST((evacuatedZones() == std::set{zoneA}));
+    BOOST_TEST(wholeReads() == 1);
+    BOOST_TEST((readOnThread([this] { return evacuatedZones(); }) == std::set{zoneA}));
 }
 
 // Guards against keeping a request whose removal was lost with the history of the store.
@@ -236,7 +253,7 @@
     onThread([&] { store.whole = {{row("config", 1), row("evacuate/b", 20)}, 20, false}; });
     answerNext(StoreFailure::HistoryGone);
     waitForZones({zoneB});
-    BOOST_TEST(store.wholeReads[operatorTable] == 2);
+    BOOST_TEST(wholeReads() == 2);
 }
 
 // Guards against a full answer of the store that hides later rows.
@@ -258,8 +275,8 @@
     answerNext(StoreFailure::NoAnswer);
     answerNext(StoreRows{{row("config", 7), row("evacuate/a", 12, true)}, 12, false});
     waitForZones({});
-    BOOST_TEST(configuration == 7);
-    BOOST_TEST(store.wholeReads[operatorTable] == 1);
+    BOOST_TEST(configurationVersion() == 7);
+    BOOST_TEST(wholeReads() == 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
