--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -3,6 +3,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+# Lets the compiler cache serve clones of the tree in other folders.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+
 preset=${1:-release}
 shift || true
 cmake --preset "$preset" >"build-$preset.log" 2>&1 || { cat "build-$preset.log"; rm -f "build-$preset.log"; exit 1; }
