--- a/scripts/fault-tests.sh
+++ b/scripts/fault-tests.sh
@@ -6,15 +6,15 @@
 # line a second time and DOCTOR=no-starts empties the log before it is judged (every test must fail);
 # DOCTOR=no-fault leaves the upstreams' faults out (all upstream tests must fail); DOCTOR=late-start
 # adds a start to the log of the leaving upstream (upstream_leaves must fail).
-# Uses loopback ports 7600 to 7649.
+# Uses 50 loopback ports from $FIRST_PORT on, by default 7600, so that two runs can share a machine.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
 work=$(mktemp -d)
 source scripts/lib/processes.sh
 trap 'stop_all_servers; rm -rf "$work"' EXIT
-port=7600
-first=7610
+port=${FIRST_PORT:-7600}
+first=$((port + 10))
 count=12
 load_pid=0
 passed=0
--- a/scripts/fleet-tests.sh
+++ b/scripts/fleet-tests.sh
@@ -5,7 +5,7 @@
 # fails if a task started twice, an answer contradicts the log, or the test had no subject. To see
 # the checks fail: DOCTOR=double-start repeats a line of the start log before it is judged.
 # Prints one line per test, the unknown answers, and a closing line `N passed, N failed`.
-# Uses loopback ports 7650 to 7699.
+# Uses 50 loopback ports from $FIRST_PORT on, by default 7650.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -13,9 +13,10 @@
 source scripts/lib/processes.sh
 source scripts/lib/fleet.sh
 trap 'stop_all_servers; rm -rf "$work"' EXIT
-fleet_ports=(7650 7653 7656)
-platform_port=7660
-first=7670
+port=${FIRST_PORT:-7650}
+fleet_ports=("$port" $((port + 3)) $((port + 6)))
+platform_port=$((port + 10))
+first=$((port + 20))
 jobs=20
 passed=0
 failed=0
--- a/scripts/platform-tests.sh
+++ b/scripts/platform-tests.sh
@@ -4,8 +4,8 @@
 # Needs a release build. The stand-in's runners count double runs of a task, starts over their room,
 # and starts in a zone more than 5 s after the request of its evacuation. Its callers send a job again
 # 1,300 ms after an answer that says it may have run. A test fails on any of these, or if too few jobs
-# complete. Prints one line per test and a closing line `N passed, N failed`. Uses loopback ports 7700
-# to 7799.
+# complete. Prints one line per test and a closing line `N passed, N failed`. Uses 100 loopback
+# ports from $FIRST_PORT on, by default 7700.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -14,8 +14,8 @@
 trap 'stop_all_servers; rm -rf "$work"' EXIT
 seed=${1:-1}
 fleet_standin=$build/src/standins/fleet/fleet-standin
-store_port=7700
-first_vm_port=7780
+store_port=${FIRST_PORT:-7700}
+first_vm_port=$((store_port + 80))
 passed=0
 failed=0
 
