Write the VM's row also while the members are read

Cause: one fiber wrote the row of the VM and then read the rows of the others.

Change: the reads run on a fiber of their own, one set at a time. A list of zones that is due while a read runs is read after it.

Conclusion: beats do not depend on how long a read takes.

--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -76,6 +76,7 @@
     void spawn(std::function<void()> function);
     void follow(const Table &table);
     void beat();
+    void readDueMembers(bool isStarting);
     bool readMembers(const ZoneId &zone);
     void learnZones();
     /// Suspends the fiber; false when stopping.
@@ -103,6 +104,10 @@
     std::map<ZoneId, std::vector<fleet::MemberRow>> m_members;
     boost::asio::steady_timer *m_beatTimer = nullptr;
     TimePoint m_lastBeat;
+    /// The last write of this VM's row succeeded.
+    bool m_isRowWritten = false;
+    bool m_isZoneListDue = false;
+    bool m_isReadingMembers = false;
     std::set<std::string> m_lostTables;
     std::set<std::string> m_unreadable;
     /// Zones with a request for their evacuation at the last read.
--- a/src/rattandock/app/fleet_sync_members.cpp
+++ b/src/rattandock/app/fleet_sync_members.cpp
@@ -33,21 +33,20 @@
         const ports::WriteResult written =
                 m_store.write({{membersTable, m_self.zone.value(), m_self.vm.value(),
                                 adapters::encodeMember(m_self), std::nullopt}});
-        const auto *const writeFailure = std::get_if<StoreFailure>(&written);
-        if (writeFailure != nullptr) {
-            noteStore(membersTable, *writeFailure);
+        const auto *const failure = std::get_if<StoreFailure>(&written);
+        m_isRowWritten = failure == nullptr;
+        if (failure != nullptr) {
+            noteStore(membersTable, *failure);
         }
-        if (m_self.beat % beatsPerZoneList == 1) {
-            learnZones();
-        }
-        const TimePoint now = m_loop.now();
-        bool isRead = true;
-        for (const ZoneId &it : m_memberReads.zonesToRead(
-                     m_zones, m_loop.dispatcher().memberLinks(), isStarting, now)) {
-            isRead = isRead && readMembers(it);
-        }
-        if (isRead && writeFailure == nullptr) {
-            noteStore(membersTable, std::nullopt);
+        m_isZoneListDue = m_isZoneListDue || m_self.beat % beatsPerZoneList == 1;
+        // A read over a slow link takes longer than a beat. Other VMs take a VM whose row is not
+        // written for two beats for failed.
+        if (!m_isReadingMembers) {
+            m_isReadingMembers = true;
+            spawn([this, isStarting] {
+                readDueMembers(isStarting);
+                m_isReadingMembers = false;
+            });
         }
         boost::asio::steady_timer timer{m_io};
         m_beatTimer = &timer;
@@ -64,6 +63,22 @@
     }
 }
 
+void FleetSync::readDueMembers(bool isStarting)
+{
+    if (m_isZoneListDue) {
+        m_isZoneListDue = false;
+        learnZones();
+    }
+    bool isRead = true;
+    for (const ZoneId &it : m_memberReads.zonesToRead(m_zones, m_loop.dispatcher().memberLinks(),
+                                                      isStarting, m_loop.now())) {
+        isRead = isRead && readMembers(it);
+    }
+    if (isRead && m_isRowWritten) {
+        noteStore(membersTable, std::nullopt);
+    }
+}
+
 void FleetSync::learnZones()
 {
     if (const auto parts = m_store.parts(membersTable)) {
--- a/src/rattandock/app/fleet_sync_test.cpp
+++ b/src/rattandock/app/fleet_sync_test.cpp
@@ -32,7 +32,9 @@
 
     ports::ReadResult read(const std::string &table, const std::string & /*part*/) override
     {
-        pause();
+        do {
+            pause();
+        } while (table == heldTable);
         ++wholeReads[table];
         return table == operatorTable ? whole : StoreRows{};
     }
@@ -51,14 +53,20 @@
     {
         return std::vector<std::string>{};
     }
-    ports::WriteResult write(const std::vector<ports::StoreWrite> & /*writes*/) override
+    ports::WriteResult write(const std::vector<ports::StoreWrite> &written) override
     {
+        for (const ports::StoreWrite &it : written) {
+            ++writes[it.table];
+        }
         return ports::StoreCommitted{1};
     }
 
     StoreRows whole;
     std::deque<ports::ReadResult> script;
     std::map<std::string, int> wholeReads;
+    std::map<std::string, int> writes;
+    /// Reads of this table do not end.
+    std::string heldTable;
 
 private:
     void pause()
@@ -109,7 +117,10 @@
     Fixture(const Fixture &) = delete;
     ~Fixture()
     {
-        onThread([&] { sync.stop(); });
+        onThread([&] {
+            store.heldTable.clear();
+            sync.stop();
+        });
         waitUntil([&] { return sync.running() == 0; });
         onThread([&] { loop.stop(); });
         threads.stop();
@@ -279,4 +290,16 @@
     BOOST_TEST(wholeReads() == 1);
 }
 
+// Guards against a VM that other VMs take for failed because it reads the rows of the members over
+// a slow link: its own row must be written meanwhile.
+BOOST_AUTO_TEST_CASE(writesItsRowWhileTheMembersAreRead)
+{
+    onThread([&] { store.heldTable = "members"; });
+    start();
+    waitUntil([&] { return store.writes["members"] >= 4; });
+    BOOST_TEST(readOnThread([this] { return store.wholeReads["members"]; }) == 0);
+    onThread([&] { store.heldTable.clear(); });
+    waitUntil([&] { return store.wholeReads["members"] > 0; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
