Judge members by the start of the reads of their rows

Cause: the age of a member's row grew by the time between the arrivals of two reads, also if the row had changed. With reads of up to 5 s a VM without a link was taken for failed although it wrote its row, and its upstreams were taken over.

Change: the time between the starts of the reads counts, as the rows show the state at that time, and a row that has changed ages by at most one beat. With reads of usual length a failed VM is still detected at the second read without a change.

Conclusion: slow reads do not make other VMs look silent.

--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -72,6 +72,8 @@
     std::optional<std::vector<MemberRow>> rows;
     /// The rows are all rows of this zone, or of all zones if absent.
     std::optional<ZoneId> zone = std::nullopt;
+    /// When the read was sent; the time of the event if absent.
+    std::optional<TimePoint> sentAt = std::nullopt;
 };
 
 /// A read of a table of keepers succeeded.
--- a/include/rattandock/fleet/membership.hpp
+++ b/include/rattandock/fleet/membership.hpp
@@ -79,9 +79,11 @@
     void eraseMissing(const std::map<VmId, MemberRow> &present,
                       const std::optional<ZoneId> &zone = std::nullopt);
     /// Records that all rows of the zone, or of all zones if none is given, were read successfully.
-    /// Adds the time since the previous successful read to the age of each unchanged row.
-    /// Call it after updateRow() for the rows of the read.
-    void readSucceeded(TimePoint now, const std::optional<ZoneId> &zone = std::nullopt);
+    /// Adds the time between the starts of this read and of the previous successful one to the age
+    /// of each row, but at most one beat if the row has changed; `sentAt` is `now` if absent. Call
+    /// it after updateRow() for the rows of the read.
+    void readSucceeded(TimePoint now, const std::optional<ZoneId> &zone = std::nullopt,
+                       const std::optional<TimePoint> &sentAt = std::nullopt);
     /// Records a failed read. The time until the next successful read does not age the rows.
     void readFailed() { m_lastRead.clear(); }
     /// Returns true if the zone was read at least once since the start.
@@ -128,6 +130,8 @@
         std::optional<Incarnation> heartbeatIncarnation;
         /// Whether the row has changed since it was first read.
         bool hasChanged = false;
+        /// Whether the row has changed since the last call of readSucceeded().
+        bool hasChangedInRead = false;
     };
     bool isAlive(const Member &member) const
     {
@@ -136,7 +140,7 @@
 
     Duration m_rowTimeout;
     std::map<VmId, Member> m_members;
-    /// Time of the last successful read of each zone since the last failed read. The key without a
+    /// Start of the last successful read of each zone since the last failed read. The key without a
     /// zone stands for reads of all zones.
     std::map<std::optional<ZoneId>, TimePoint> m_lastRead;
     /// Zones that were read since the start. The key without a zone stands for all zones.
--- a/src/rattandock/app/fleet_sync_members.cpp
+++ b/src/rattandock/app/fleet_sync_members.cpp
@@ -90,6 +90,7 @@
 
 bool FleetSync::readMembers(const ZoneId &zone)
 {
+    const TimePoint sentAt = m_loop.now();
     const ports::ReadResult read = m_store.read(membersTable, zone.value());
     if (const auto *const failure = std::get_if<StoreFailure>(&read)) {
         noteStore(membersTable, *failure);
@@ -115,7 +116,7 @@
         }
         m_onMembers(all);
     }
-    m_loop.post(fleet::MembersRead{std::move(rows), zone});
+    m_loop.post(fleet::MembersRead{std::move(rows), zone, sentAt});
     return true;
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -116,7 +116,7 @@
         m_members.setLink(it.vm, m_linkedVms.contains(it.vm));
     }
     m_members.eraseMissing(present, event.zone);
-    m_members.readSucceeded(now, event.zone);
+    m_members.readSucceeded(now, event.zone, event.sentAt);
 }
 
 MemberLinks FleetDispatcher::memberLinks() const
--- a/src/rattandock/fleet/membership.cpp
+++ b/src/rattandock/fleet/membership.cpp
@@ -10,6 +10,9 @@
 /// this limit, a VM that was paused itself would consider all other VMs failed.
 constexpr Duration maxCountedGap = std::chrono::milliseconds{1500};
 
+/// A VM writes its row this often in the time after which it counts as failed.
+constexpr int beatsPerTimeout = 2;
+
 /// If no further VM becomes active for this long, the remaining ones are not expected to return.
 /// Equals three of the initial heartbeats, which are sent every 150 ms.
 constexpr Duration settleDelay = std::chrono::milliseconds{450};
@@ -23,6 +26,7 @@
     const bool changed = member.row.beat != row.beat || member.row.incarnation != row.incarnation;
     if (changed) {
         member.unchanged = {};
+        member.hasChangedInRead = true;
         member.hasChanged = member.hasChanged || !isNew;
     }
     // Draining is final for a process. A row that was written before it started must not revert it.
@@ -60,17 +64,24 @@
     return m_zonesRead.contains(std::nullopt) || m_zonesRead.contains(zone);
 }
 
-void Membership::readSucceeded(TimePoint now, const std::optional<ZoneId> &zone)
+void Membership::readSucceeded(TimePoint now, const std::optional<ZoneId> &zone,
+                               const std::optional<TimePoint> &sentAt)
 {
-    if (const auto last = m_lastRead.find(zone); last != m_lastRead.end()) {
-        const Duration gap = std::min(now - last->second, maxCountedGap);
-        for (auto &[vm, member] : m_members) {
-            if (!zone || member.row.zone == *zone) {
-                member.unchanged += gap;
-            }
+    // The rows show the state shortly after the call was sent; the answer may take seconds.
+    const TimePoint readAt = sentAt.value_or(now);
+    const auto last = m_lastRead.find(zone);
+    const Duration gap = last == m_lastRead.end()
+                                 ? Duration{}
+                                 : std::clamp(readAt - last->second, Duration{}, maxCountedGap);
+    for (auto &[vm, member] : m_members) {
+        if (!zone || member.row.zone == *zone) {
+            // A row that has changed is at most a beat old, however long ago the last read was.
+            member.unchanged +=
+                    member.hasChangedInRead ? std::min(gap, m_rowTimeout / beatsPerTimeout) : gap;
+            member.hasChangedInRead = false;
         }
     }
-    m_lastRead[zone] = now;
+    m_lastRead[zone] = readAt;
     m_zonesRead.insert(zone);
     std::map<ZoneId, std::size_t> activeCounts;
     for (const auto &[vm, member] : m_members) {
