Delay full reads of a table after failed reads

Cause: a full read that failed was repeated after a fixed 250 ms, and after a loss of the history at once. Over a slow link each repetition sends the first part of a long answer again.

Change: fleet/read_backoff delays a full read after a failed read of its table by 50 ms, doubled up to 400 ms. Failed calls for changes are still repeated after 250 ms. The delay begins anew after a successful call for changes, or after a full read of a table that is only read in full (members). The keepers of zones without a VM are read every 700 ms, which is longer.

Conclusion: repeated full reads leave a slow link most of its time.

--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -13,6 +13,7 @@
 #include "rattandock/app/fleet_loop.hpp"
 #include "rattandock/fleet/fleet_config.hpp"
 #include "rattandock/fleet/member_reads.hpp"
+#include "rattandock/fleet/read_backoff.hpp"
 #include "rattandock/fleet/upstream_directory.hpp"
 #include "rattandock/ports/metadata_store.hpp"
 
@@ -82,6 +83,8 @@
     /// Suspends the fiber; false when stopping.
     bool pause(Duration span);
     bool pause(boost::asio::steady_timer &timer, Duration span);
+    /// Suspends the fiber until a full read may start; false when stopping.
+    bool pauseFor(const fleet::ReadBackoff &backoff);
     void readForeignKeepers();
     void followUpstreams();
     void readUpstreams();
@@ -108,6 +111,8 @@
     bool m_isRowWritten = false;
     bool m_isZoneListDue = false;
     bool m_isReadingMembers = false;
+    fleet::ReadBackoff m_membersBackoff;
+    fleet::ReadBackoff m_upstreamsBackoff;
     std::set<std::string> m_lostTables;
     std::set<std::string> m_unreadable;
     /// Zones with a request for their evacuation at the last read.
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -29,7 +29,7 @@
 constexpr Duration keepersInterval = std::chrono::milliseconds{250};
 /// Between two reads of the keepers of a zone that has no VM of its own.
 constexpr Duration foreignKeepersInterval = std::chrono::milliseconds{700};
-/// Pause after a failed call.
+/// Pause after a failed call for changes. Full reads wait as ReadBackoff says.
 constexpr Duration retryPause = std::chrono::milliseconds{250};
 
 std::string keepersTableOf(const ZoneId &zone)
@@ -117,6 +117,12 @@
     return !m_isStopping;
 }
 
+bool FleetSync::pauseFor(const fleet::ReadBackoff &backoff)
+{
+    const Duration delay = backoff.remaining(m_loop.now());
+    return delay > Duration{} ? pause(delay) : !m_isStopping;
+}
+
 void FleetSync::noteStore(const std::string &table, std::optional<StoreFailure> failure)
 {
     if (m_isStopping) {
@@ -135,11 +141,16 @@
 {
     std::uint64_t version = 0;
     bool readsWhole = true;
+    fleet::ReadBackoff backoff;
     while (!m_isStopping) {
+        if (readsWhole && !pauseFor(backoff)) {
+            return;
+        }
         const TimePoint sentAt = m_loop.now();
         const ports::ReadResult result =
                 readsWhole ? table.readWhole() : m_store.changes(table.name, version, table.wait());
         if (const auto *const failure = std::get_if<StoreFailure>(&result)) {
+            backoff.recordFailure(m_loop.now());
             if (*failure == StoreFailure::HistoryGone) {
                 log(LogLevel::Info, LogPart::Platform,
                     "store history gone, reads again table=" + table.name);
@@ -148,10 +159,17 @@
             }
             noteStore(table.name, *failure);
             table.failed(sentAt);
-            pause(retryPause);
+            if (!readsWhole) {
+                pause(retryPause);
+            }
             continue;
         }
         noteStore(table.name, std::nullopt);
+        if (!readsWhole) {
+            // A full read alone does not end the backoff: the store may have lost its history again
+            // at each read of changes.
+            backoff.recordSuccess();
+        }
         const StoreRows &rows = std::get<StoreRows>(result);
         if (rows.isPartial) {
             // A full answer may lack the latest changes.
@@ -201,12 +219,17 @@
 void FleetSync::readUpstreams()
 {
     const std::string &table = m_format.upstreamsTable;
+    // Changes that another VM sends during the pause may make the full read unnecessary.
+    if (m_directory.needsWholeRead() && !pauseFor(m_upstreamsBackoff)) {
+        return;
+    }
     const bool isWhole = m_directory.needsWholeRead();
     const TimePoint sentAt = m_loop.now();
     const ports::ReadResult result =
             isWhole ? m_store.read(table, "")
                     : m_store.changes(table, m_directory.version(), Duration{});
     if (const auto *const failure = std::get_if<StoreFailure>(&result)) {
+        m_upstreamsBackoff.recordFailure(m_loop.now());
         if (*failure == StoreFailure::HistoryGone) {
             log(LogLevel::Info, LogPart::Platform,
                 "store history gone, reads again table=" + table);
@@ -215,10 +238,15 @@
         }
         noteStore(table, *failure);
         m_loop.post(fleet::UpstreamListReadFailed{sentAt});
-        pause(retryPause);
+        if (!isWhole) {
+            pause(retryPause);
+        }
         return;
     }
     noteStore(table, std::nullopt);
+    if (!isWhole) {
+        m_upstreamsBackoff.recordSuccess();
+    }
     takeUpstreams(std::get<StoreRows>(result), isWhole, sentAt);
 }
 
--- a/src/rattandock/app/fleet_sync_members.cpp
+++ b/src/rattandock/app/fleet_sync_members.cpp
@@ -69,6 +69,9 @@
         m_isZoneListDue = false;
         learnZones();
     }
+    if (!pauseFor(m_membersBackoff)) {
+        return;
+    }
     bool isRead = true;
     for (const ZoneId &it : m_memberReads.zonesToRead(m_zones, m_loop.dispatcher().memberLinks(),
                                                       isStarting, m_loop.now())) {
@@ -93,10 +96,12 @@
     const TimePoint sentAt = m_loop.now();
     const ports::ReadResult read = m_store.read(membersTable, zone.value());
     if (const auto *const failure = std::get_if<StoreFailure>(&read)) {
+        m_membersBackoff.recordFailure(m_loop.now());
         noteStore(membersTable, *failure);
         m_loop.post(fleet::MembersRead{});
         return false;
     }
+    m_membersBackoff.recordSuccess();
     m_memberReads.recordRead(zone, m_loop.now());
     std::vector<fleet::MemberRow> rows;
     for (const StoreRow &it : std::get<StoreRows>(read).rows) {
--- a/src/rattandock/app/fleet_sync_test.cpp
+++ b/src/rattandock/app/fleet_sync_test.cpp
@@ -32,10 +32,19 @@
 
     ports::ReadResult read(const std::string &table, const std::string & /*part*/) override
     {
+        const auto began = std::chrono::steady_clock::now();
+        if (const auto failed = m_failedAt.find(table); failed != m_failedAt.end()) {
+            delays[table].push_back(began - failed->second);
+            m_failedAt.erase(failed);
+        }
         do {
             pause();
         } while (table == heldTable);
         ++wholeReads[table];
+        if (failingTables.contains(table)) {
+            m_failedAt[table] = std::chrono::steady_clock::now();
+            return StoreFailure::NoAnswer;
+        }
         return table == operatorTable ? whole : StoreRows{};
     }
     ports::ReadResult changes(const std::string &table, std::uint64_t after,
@@ -47,6 +56,9 @@
         }
         const ports::ReadResult next = script.front();
         script.pop_front();
+        if (std::holds_alternative<StoreFailure>(next)) {
+            m_failedAt[table] = std::chrono::steady_clock::now();
+        }
         return next;
     }
     std::optional<std::vector<std::string>> parts(const std::string & /*table*/) override
@@ -67,6 +79,10 @@
     std::map<std::string, int> writes;
     /// Reads of this table do not end.
     std::string heldTable;
+    /// Whole reads of these tables fail.
+    std::set<std::string> failingTables;
+    /// The times from a failed read to the whole read that followed it.
+    std::map<std::string, std::vector<std::chrono::steady_clock::duration>> delays;
 
 private:
     void pause()
@@ -76,6 +92,7 @@
     }
 
     boost::asio::io_context &m_io;
+    std::map<std::string, std::chrono::steady_clock::time_point> m_failedAt;
 };
 
 class NoUpstreams final : public ports::UpstreamOrders
@@ -197,6 +214,17 @@
     {
         return readOnThread([this] { return store.wholeReads[operatorTable]; });
     }
+    /// Waits for five whole reads of the table that follow a failed read, and checks the delays.
+    void checkDelays(const std::string &table)
+    {
+        waitUntil([&] { return store.delays[table].size() >= 5; });
+        const auto delays = readOnThread([&] { return store.delays[table]; });
+        const Duration expected[] = {50ms, 100ms, 200ms, 400ms, 400ms};
+        for (std::size_t n = 0; n < std::size(expected); ++n) {
+            // Only the lower bound: a busy machine makes a delay longer.
+            BOOST_TEST((delays[n] >= expected[n]), table << ", delay " << n);
+        }
+    }
     void answerNext(const ports::ReadResult &result)
     {
         onThread([&] { store.script.push_back(result); });
@@ -302,4 +330,26 @@
     waitUntil([&] { return store.wholeReads["members"] > 0; });
 }
 
+// Guards against repeated full reads of a table that saturate a slow link.
+BOOST_AUTO_TEST_CASE(delaysFullReadsAfterFailedReads)
+{
+    const std::set<std::string> tables{operatorTable, "upstreams", "members", "keepers-z"};
+    onThread([&] { store.failingTables = tables; });
+    start();
+    for (const std::string &it : tables) {
+        checkDelays(it);
+    }
+    onThread([&] { store.failingTables.clear(); });
+    waitForZones({zoneA});
+}
+
+// Guards against full reads without a pause when the store answers each read of changes by the loss
+// of its history.
+BOOST_AUTO_TEST_CASE(delaysFullReadsWhileTheHistoryIsLost)
+{
+    onThread([&] { store.script.assign(5, StoreFailure::HistoryGone); });
+    start();
+    checkDelays(operatorTable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
