Read the factor of runs on other racks from the settings

Cause: the factor on the expected run time on a rack other than the one that a task requests was 2, while deployments state 1.5, 2 and 3. Tasks waited for their rack without need, or were started where they could not end in time.

Conclusion: expected run times follow the deployment.

--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -40,6 +40,8 @@
     /// No task may be started in a zone later than this after the operator requested its
     /// evacuation. Absent if the platform states no limit.
     std::optional<Duration> evacuationLimit;
+    /// Factor by which a task's run time increases on a rack other than the one that it requests.
+    double farRunFactor = 2;
 };
 
 /// The settings of `rattandockd`; docs/settings.md describes each key.
--- a/include/rattandock/fleet/fleet_options.hpp
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -39,6 +39,9 @@
     /// No task may be started in a zone later than this after the operator requested its
     /// evacuation. The age of the requests is not checked if absent.
     std::optional<Duration> evacuationLimit = std::nullopt;
+    /// Factor on the expected run time of a task on a rack other than the one that it requests. At
+    /// least 1.
+    double farRunFactor = 2;
     /// The answer is sent at least this long before the caller's deadline, so that it arrives in
     /// time.
     Duration answerMargin = 20ms;
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -263,6 +263,9 @@
     if (const auto read = reader.integer("evacuationLimitMs", 2000, maxHourMs)) {
         fleet.evacuationLimit = milliseconds{*read};
     }
+    if (const auto read = reader.number("farRunFactor", 1, 10)) {
+        fleet.farRunFactor = *read;
+    }
     return fleet;
 }
 
--- a/src/rattandock/adapters/settings_test.cpp
+++ b/src/rattandock/adapters/settings_test.cpp
@@ -126,4 +126,34 @@
                == "a.json: $.fleet.peerSilenceMs: must be from 100 to 663\n");
 }
 
+// Guards against a factor on run times that is ignored, and against one below 1, which would prefer
+// racks without the data.
+BOOST_AUTO_TEST_CASE(readsTheFactorOfRunsOnOtherRacks)
+{
+    const auto parse = [](const std::string &member) {
+        return parseSettings(R"({
+            "vm": "a", "zone": "z1", "callerAddress": "127.0.0.1:0",
+            "operatorAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:8001",
+            "fleet": {"storeAddress": "127.0.0.1:7400")"
+                                     + member + "}}",
+                             "a.json");
+    };
+    const auto absent = parse("");
+    BOOST_REQUIRE(absent);
+    BOOST_TEST(absent.value().fleet->farRunFactor == 2.0);
+    for (const auto &[text, factor] : {std::pair{"1", 1.0}, {"1.5", 1.5}, {"10", 10.0}}) {
+        const auto read = parse(std::string{R"(, "farRunFactor": )"} + text);
+        BOOST_REQUIRE(read);
+        BOOST_TEST(read.value().fleet->farRunFactor == factor);
+    }
+    for (const std::string text : {"0.99", "10.01", "-2", "0"}) {
+        const auto refused = parse(R"(, "farRunFactor": )" + text);
+        BOOST_REQUIRE(!refused);
+        BOOST_TEST(describe(refused.error()).starts_with("a.json: $.fleet.farRunFactor: must be "));
+    }
+    const auto word = parse(R"(, "farRunFactor": "2")");
+    BOOST_REQUIRE(!word);
+    BOOST_TEST(describe(word.error()) == "a.json: $.fleet.farRunFactor: must be a number\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -49,6 +49,7 @@
     options.drainLimit = settings.fleet->upstreamDrainLimit;
     options.peerSilence = settings.fleet->peerSilence;
     options.evacuationLimit = settings.fleet->evacuationLimit;
+    options.farRunFactor = settings.fleet->farRunFactor;
     return options;
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Factor on the expected run time away from the rack with the data. The platform states 1.5 to 3.
-constexpr double remoteDataFactor = 2.0;
 /// A task waits for a faster upstream for at most this share of its caller's time.
 constexpr double maxWaitForFasterShare = 0.2;
 
@@ -102,7 +100,7 @@
         }
         Duration expected = m_runTimes.expected(id, upstreamKind(entry), predictedRun(job.spec));
         if (!isOnRack(entry, job.spec.preferredRack)) {
-            expected = scaled(expected, remoteDataFactor);
+            expected = scaled(expected, m_options.farRunFactor);
         }
         candidates.push_back({kept.size(), room.minus(job.spec.need).cpu.value(), expected});
         kept.push_back(&it);
