--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -13,6 +13,7 @@
 #include "rattandock/app/fleet_loop.hpp"
 #include "rattandock/fleet/fleet_config.hpp"
 #include "rattandock/fleet/member_reads.hpp"
+#include "rattandock/fleet/read_backoff.hpp"
 #include "rattandock/fleet/upstream_directory.hpp"
 #include "rattandock/ports/metadata_store.hpp"
 
@@ -76,11 +77,14 @@
     void spawn(std::function<void()> function);
     void follow(const Table &table);
     void beat();
+    void readDueMembers(bool isStarting);
     bool readMembers(const ZoneId &zone);
     void learnZones();
     /// Suspends the fiber; false when stopping.
     bool pause(Duration span);
     bool pause(boost::asio::steady_timer &timer, Duration span);
+    /// Suspends the fiber until a full read may start; false when stopping.
+    bool pauseFor(const fleet::ReadBackoff &backoff);
     void readForeignKeepers();
     void followUpstreams();
     void readUpstreams();
@@ -103,6 +107,12 @@
     std::map<ZoneId, std::vector<fleet::MemberRow>> m_members;
     boost::asio::steady_timer *m_beatTimer = nullptr;
     TimePoint m_lastBeat;
+    /// The last write of this VM's row succeeded.
+    bool m_isRowWritten = false;
+    bool m_isZoneListDue = false;
+    bool m_isReadingMembers = false;
+    fleet::ReadBackoff m_membersBackoff;
+    fleet::ReadBackoff m_upstreamsBackoff;
     std::set<std::string> m_lostTables;
     std::set<std::string> m_unreadable;
     /// Zones with a request for their evacuation at the last read.
