--- a/fuzz/parse_submission.cpp
+++ b/fuzz/parse_submission.cpp
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "platform/configuration_codec.hpp"
 #include "platform/directory_codec.hpp"
 #include "platform/submission_codec.hpp"
 
