Move the request of rattandockctl to the daemon into its own file

Change: askDaemon() and the errors that end a command move to app/detail/control_request; the texts are the same. Conclusion: ControlTest passes unchanged (10 cases).

--- a/src/rattandock/app/control.cpp
+++ b/src/rattandock/app/control.cpp
@@ -10,7 +10,7 @@
 #include <random>
 #include <sstream>
 
-#include "rattandock/adapters/http_client.hpp"
+#include "detail/control_request.hpp"
 #include "rattandock/app/exit_code.hpp"
 #include "rattandock/app/json_table.hpp"
 #include "rattandock/app/log_timeline.hpp"
@@ -18,7 +18,6 @@
 namespace rattandock::app {
 
 namespace json = boost::json;
-using adapters::HttpRequest;
 using adapters::HttpResponse;
 
 namespace {
@@ -37,17 +36,6 @@
 /// Added to a job's deadline: time for the connection and the answer.
 constexpr std::int64_t submitMarginMs = 2'000;
 
-struct UsageError
-{
-    std::string message;
-};
-
-/// The daemon gave no answer.
-struct Unreachable
-{
-    std::string message;
-};
-
 std::string programHelp()
 {
     std::string text = "Usage: rattandockctl COMMAND [OPTION...]\n\nCommands:\n";
@@ -142,27 +130,7 @@
     HttpResponse ask(const std::string &listener, const std::string &method,
                      const std::string &path, std::string body = {}, std::int64_t extraMs = 0) const
     {
-        const std::string address = m_options[listener].as<std::string>();
-        const auto server = adapters::parseEndpoint(address);
-        if (!server) {
-            throw UsageError{"--" + listener + " must be IP:PORT, not " + address};
-        }
-        const auto limitMs = m_options["timeout-ms"].as<std::int64_t>();
-        if (limitMs < 1 || limitMs > 3'600'000) {
-            throw UsageError{"--timeout-ms must be from 1 to 3600000"};
-        }
-        HttpRequest request;
-        request.method = method;
-        request.path = path;
-        request.body = std::move(body);
-        auto answer = adapters::sendHttpRequest(*server, request,
-                                                std::chrono::milliseconds{limitMs + extraMs});
-        if (!answer) {
-            const std::string what = answer.error().sent ? "no answer from" : "cannot connect to";
-            throw Unreachable{what + " the daemon's " + listener + " listener at " + address + ": "
-                              + answer.error().ec.message()};
-        }
-        return std::move(answer.value());
+        return askDaemon(m_options, listener, method, path, std::move(body), extraMs);
     }
 
     int print(const HttpResponse &response) const
