--- a/completions/rattandockctl.bash
+++ b/completions/rattandockctl.bash
@@ -1,7 +1,7 @@
 # Completion of rattandockctl for bash: source this file.
 _rattandockctl() {
   local word=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD-1]} command=${COMP_WORDS[1]}
-  local commands="submit status job explain logs cancel drain token"
+  local commands="submit status job explain logs cancel drain token config"
   local options="--caller --operator --timeout-ms --json --help"
   COMPREPLY=()
   if [ "$COMP_CWORD" -eq 1 ]; then
@@ -19,6 +19,14 @@
     mapfile -t COMPREPLY < <(compgen -f -- "$word")
     return
   fi
+  if [ "$command" = config ] && [[ $word != -* ]]; then
+    if [ "$COMP_CWORD" -eq 2 ]; then
+      mapfile -t COMPREPLY < <(compgen -W "check" -- "$word")
+    else
+      mapfile -t COMPREPLY < <(compgen -f -- "$word")
+    fi
+    return
+  fi
   if [ "$command" = submit ]; then
     options="$options --file --key --id"
   fi
--- a/include/rattandock/app/control.hpp
+++ b/include/rattandock/app/control.hpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "rattandock/app/config_reading.hpp"
+
 namespace rattandock::app {
 
 /// One command of `rattandockctl`.
@@ -15,15 +17,18 @@
     std::string_view help;
     /// Name of the one positional argument; empty if there is none.
     std::string_view argument;
+    /// What follows the name in the help text.
+    std::string_view usage;
 };
 
 /// All commands, in the order of the help text.
 std::span<const ControlCommand> controlCommands();
 
-/// Runs `rattandockctl` with the given arguments (without the program's name).
-/// Returns the exit code: 0 success, 1 the operation failed or its job did not complete, 2 usage
-/// error or unreadable job file, 4 no answer from the daemon.
+/// Runs `rattandockctl` with the given arguments (without the program's name). Configurations are
+/// read in the given format.
+/// Returns the exit code: 0 success, 1 the operation failed, its job did not complete or its
+/// configuration has errors, 2 usage error or unreadable file, 4 no answer from the daemon.
 int runControl(const std::vector<std::string> &arguments, std::string_view version,
-               std::ostream &out, std::ostream &err);
+               const ConfigFormat &format, std::ostream &out, std::ostream &err);
 
 } // namespace rattandock::app
--- a/src/rattandock/app/control.cpp
+++ b/src/rattandock/app/control.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <sstream>
 
+#include "detail/config_command.hpp"
 #include "detail/control_request.hpp"
 #include "rattandock/app/exit_code.hpp"
 #include "rattandock/app/json_table.hpp"
@@ -22,15 +23,16 @@
 
 namespace {
 
-constexpr std::array<ControlCommand, 8> commands{{
-        {"submit", "Submit a job and print its answer.", ""},
-        {"status", "Show the state of the daemon.", ""},
-        {"job", "Show the state of one job.", "ID"},
-        {"explain", "Show what was decided about one job and why.", "ID"},
-        {"logs", "Join the lines about one job from the logs of several VMs.", "ID"},
-        {"cancel", "Cancel the unstarted tasks of one job.", "ID"},
-        {"drain", "Begin the planned stop of the daemon.", ""},
-        {"token", "Get a home token for job ids.", ""},
+constexpr std::array<ControlCommand, 9> commands{{
+        {"submit", "Submit a job and print its answer.", "", ""},
+        {"status", "Show the state of the daemon.", "", ""},
+        {"job", "Show the state of one job.", "ID", "ID"},
+        {"explain", "Show what was decided about one job and why.", "ID", "ID"},
+        {"logs", "Join the lines about one job from the logs of several VMs.", "ID", "ID FILE..."},
+        {"cancel", "Cancel the unstarted tasks of one job.", "ID", "ID"},
+        {"drain", "Begin the planned stop of the daemon.", "", ""},
+        {"token", "Get a home token for job ids.", "", ""},
+        {"config", "Check a configuration before it is sent.", "", "check FILE"},
 }};
 
 /// Added to a job's deadline: time for the connection and the answer.
@@ -40,13 +42,14 @@
 {
     std::string text = "Usage: rattandockctl COMMAND [OPTION...]\n\nCommands:\n";
     for (const ControlCommand &it : commands) {
-        const std::string use = std::string{it.name} + (it.argument.empty() ? "" : " ID");
-        text += "  " + use + std::string(12 - use.size(), ' ') + std::string{it.help} + '\n';
+        const std::string use = std::string{it.name} + ' ' + std::string{it.usage};
+        text += "  " + use + std::string(20 - use.size(), ' ') + std::string{it.help} + '\n';
     }
     return text
            + "\nrattandockctl COMMAND --help shows the options of a command.\n\n"
-             "Exit codes: 0 success, 1 the operation failed or the job did not complete,\n"
-             "2 usage error or unreadable job file, 4 no answer from the daemon.\n";
+             "Exit codes: 0 success, 1 the operation failed, the job did not complete or the\n"
+             "configuration has errors, 2 usage error or unreadable file, 4 no answer from the\n"
+             "daemon.\n";
 }
 
 cxxopts::Options optionsOf(const ControlCommand &command)
@@ -70,6 +73,12 @@
     if (command.name == "logs") {
         add("FILE", "log of one VM", cxxopts::value<std::vector<std::string>>());
     }
+    if (command.name == "config") {
+        add("ACTION", "check", cxxopts::value<std::string>());
+        add("FILE", "configuration in JSON, - for standard input", cxxopts::value<std::string>());
+        options.parse_positional({"ACTION", "FILE"});
+        options.positional_help(std::string{command.usage});
+    }
     if (!command.argument.empty()) {
         add(std::string{command.argument}, "id of the job", cxxopts::value<std::string>());
         const std::string more = command.name == "logs" ? " FILE..." : "";
@@ -84,10 +93,11 @@
 class Control
 {
 public:
-    Control(const ControlCommand &command, const cxxopts::ParseResult &options, std::ostream &out,
-            std::ostream &err)
+    Control(const ControlCommand &command, const cxxopts::ParseResult &options,
+            const ConfigFormat &format, std::ostream &out, std::ostream &err)
         : m_command(command)
         , m_options(options)
+        , m_format(format)
         , m_out(out)
         , m_err(err)
     {
@@ -110,6 +120,9 @@
         if (m_command.name == "logs") {
             return joinLogs();
         }
+        if (m_command.name == "config") {
+            return runConfigCommand(m_options, m_format, m_out);
+        }
         const std::string id = adapters::percentEncode(text(std::string{m_command.argument}));
         if (m_command.name == "explain") {
             return print(ask("operator", "GET", "/v1/explain/" + id));
@@ -253,12 +266,13 @@
 
     const ControlCommand &m_command;
     const cxxopts::ParseResult &m_options;
+    const ConfigFormat &m_format;
     std::ostream &m_out;
     std::ostream &m_err;
 };
 
 int runCommand(const ControlCommand &command, const std::vector<std::string> &arguments,
-               std::ostream &out, std::ostream &err)
+               const ConfigFormat &format, std::ostream &out, std::ostream &err)
 {
     auto options = optionsOf(command);
     std::vector<const char *> argv;
@@ -273,7 +287,7 @@
     if (!parsed.unmatched().empty()) {
         throw UsageError{parsed.unmatched().front() + " is not expected"};
     }
-    return Control{command, parsed, out, err}.run();
+    return Control{command, parsed, format, out, err}.run();
 }
 
 } // namespace
@@ -284,7 +298,7 @@
 }
 
 int runControl(const std::vector<std::string> &arguments, std::string_view version,
-               std::ostream &out, std::ostream &err)
+               const ConfigFormat &format, std::ostream &out, std::ostream &err)
 {
     const std::string first = arguments.empty() ? "" : arguments.front();
     if (first == "--help" || first == "-h") {
@@ -301,7 +315,7 @@
             throw UsageError{first.empty() ? "a command is missing"
                                            : "there is no command " + first};
         }
-        return runCommand(*command, arguments, out, err);
+        return runCommand(*command, arguments, format, out, err);
     } catch (const UsageError &error) {
         err << "rattandockctl: " << error.message << "; see rattandockctl --help\n";
         return exitUsage;
--- a/src/rattandock/app/control_test.cpp
+++ b/src/rattandock/app/control_test.cpp
@@ -31,7 +31,7 @@
     std::stringstream out;
     std::stringstream err;
     Run run;
-    run.code = runControl(arguments, "1.2.3", out, err);
+    run.code = runControl(arguments, "1.2.3", {}, out, err);
     run.out = out.str();
     run.err = err.str();
     return run;
@@ -127,6 +127,12 @@
             {"status", "--operator", "somewhere"},
             {"status", "--timeout-ms", "0"},
             {"status", "--timeout-ms", "soon"},
+            {"config"},
+            {"config", "check"},
+            {"config", "send", "file.json"},
+            {"config", "check", "/no/such/file.json"},
+            {"config", "check", "/"},
+            {"config", "check", "a.json", "b.json"},
     };
     for (const auto &it : wrong) {
         const Run run = control(it);
