Compare a configuration with an earlier one

Cause: an operator sees what a new configuration changes only after it is in force. A configuration that the daemon refuses is not compared, because queues that cannot be read would look like removed ones.

--- a/completions/rattandockctl.bash
+++ b/completions/rattandockctl.bash
@@ -9,7 +9,7 @@
     return
   fi
   case $previous in
-    -f | --file)
+    -f | --file | --against)
       mapfile -t COMPREPLY < <(compgen -f -- "$word")
       return
       ;;
@@ -27,6 +27,9 @@
     fi
     return
   fi
+  if [ "$command" = config ]; then
+    options="$options --against"
+  fi
   if [ "$command" = submit ]; then
     options="$options --file --key --id"
   fi
--- a/include/rattandock/app/config_report.hpp
+++ b/include/rattandock/app/config_report.hpp
@@ -1,12 +1,25 @@
 #pragma once
 
 #include <boost/json/object.hpp>
+#include <optional>
 #include <string>
 
+#include "rattandock/app/config_differences.hpp"
 #include "rattandock/app/config_reading.hpp"
 
 namespace rattandock::app {
 
+/// How the checked configuration differs from another one.
+struct ConfigComparison
+{
+    /// The file or the daemon that the other one is from.
+    std::string source;
+    ConfigurationVersion version;
+    /// Nothing if the checked configuration is not accepted, as queues that cannot be read would
+    /// look like removed ones.
+    std::optional<ConfigDifferences> differences;
+};
+
 /// What is told about one checked configuration.
 struct ConfigReport
 {
@@ -17,10 +30,11 @@
     /// The queues that could be read.
     std::size_t queues = 0;
     ConfigFindings findings;
+    std::optional<ConfigComparison> comparison;
 };
 
-/// Text for people: errors, then warnings, then a summary in one line. Control characters are shown
-/// as `?`, so that text of a configuration cannot change the terminal.
+/// Text for people: errors, warnings, differences, then a summary in one line. Control characters
+/// are shown as `?`, so that text of a configuration cannot change the terminal.
 std::string toText(const ConfigReport &report);
 
 /// The same for programs; docs/config-check.md has the members.
--- a/src/rattandock/app/config_report.cpp
+++ b/src/rattandock/app/config_report.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 
+#include "rattandock/base/overloaded.hpp"
+
 namespace rattandock::app {
 
 namespace json = boost::json;
@@ -34,6 +36,79 @@
     return text;
 }
 
+json::object toJson(const ConfigDifference &difference)
+{
+    return std::visit(Overloaded{[](const QueueAdded &it) -> json::object {
+                                     return {{"queue", it.queue.value()}, {"change", "added"}};
+                                 },
+                                 [](const QueueRemoved &it) -> json::object {
+                                     return {{"queue", it.queue.value()}, {"change", "removed"}};
+                                 },
+                                 [](const QueueChanged &it) -> json::object {
+                                     return {{"queue", it.queue.value()},
+                                             {"change", "changed"},
+                                             {"field", name(it.field)},
+                                             {"from", it.from},
+                                             {"to", it.to}};
+                                 }},
+                      difference);
+}
+
+json::object toJson(const ConfigComparison &comparison)
+{
+    json::object object{{"source", comparison.source}, {"version", comparison.version.value()}};
+    if (!comparison.differences) {
+        object["differences"] = nullptr;
+        return object;
+    }
+    const ConfigDifferences &it = *comparison.differences;
+    json::array items;
+    for (const ConfigDifference &item : it.items) {
+        items.push_back(toJson(item));
+    }
+    object["added"] = it.added;
+    object["removed"] = it.removed;
+    object["changed"] = it.changed;
+    object["differences"] = std::move(items);
+    object["differencesOmitted"] = it.omitted;
+    return object;
+}
+
+std::string toText(const ConfigDifference &difference)
+{
+    const auto queue = [](const fleet::QueueId &id) {
+        return "    queue \"" + id.value() + "\": ";
+    };
+    return line(std::visit(
+            Overloaded{[&](const QueueAdded &it) { return queue(it.queue) + "added"; },
+                       [&](const QueueRemoved &it) { return queue(it.queue) + "removed"; },
+                       [&](const QueueChanged &it) {
+                           return queue(it.queue) + std::string{name(it.field)} + " from \""
+                                  + it.from + "\" to \"" + it.to + '"';
+                       }},
+            difference));
+}
+
+std::string toText(const ConfigComparison &comparison)
+{
+    const std::string other =
+            "version " + std::to_string(comparison.version.value()) + " of " + comparison.source;
+    if (!comparison.differences) {
+        return line("not compared with " + other + ", because the daemon refuses this one");
+    }
+    const ConfigDifferences &it = *comparison.differences;
+    std::string text = line("differences from " + other + ": " + counted(it.added, "queue")
+                            + " added, " + std::to_string(it.removed) + " removed, "
+                            + std::to_string(it.changed) + " changed");
+    for (const ConfigDifference &item : it.items) {
+        text += toText(item);
+    }
+    if (it.omitted > 0) {
+        text += line("    " + counted(it.omitted, "more difference") + " not shown");
+    }
+    return text;
+}
+
 } // namespace
 
 std::string toText(const ConfigReport &report)
@@ -44,6 +119,9 @@
     if (findings.omitted() > 0) {
         text += line(counted(findings.omitted(), "more finding") + " not shown");
     }
+    if (report.comparison) {
+        text += toText(*report.comparison);
+    }
     return text
            + line(report.file + ": version " + std::to_string(report.version.value()) + ", "
                   + counted(report.queues, "queue") + ", "
@@ -61,14 +139,18 @@
                                         {"message", it.message},
                                         {"remedy", it.remedy}});
     }
-    return {{"file", report.file},
-            {"version", report.version.value()},
-            {"accepted", report.isAccepted},
-            {"queues", report.queues},
-            {"errors", report.findings.count(Severity::Error)},
-            {"warnings", report.findings.count(Severity::Warning)},
-            {"findings", std::move(findings)},
-            {"findingsOmitted", report.findings.omitted()}};
+    json::object object{{"file", report.file},
+                        {"version", report.version.value()},
+                        {"accepted", report.isAccepted},
+                        {"queues", report.queues},
+                        {"errors", report.findings.count(Severity::Error)},
+                        {"warnings", report.findings.count(Severity::Warning)},
+                        {"findings", std::move(findings)},
+                        {"findingsOmitted", report.findings.omitted()}};
+    if (report.comparison) {
+        object["against"] = toJson(*report.comparison);
+    }
+    return object;
 }
 
 } // namespace rattandock::app
--- a/src/rattandock/app/control.cpp
+++ b/src/rattandock/app/control.cpp
@@ -76,6 +76,7 @@
     if (command.name == "config") {
         add("ACTION", "check", cxxopts::value<std::string>());
         add("FILE", "configuration in JSON, - for standard input", cxxopts::value<std::string>());
+        add("against", "earlier configuration to compare with", cxxopts::value<std::string>());
         options.parse_positional({"ACTION", "FILE"});
         options.positional_help(std::string{command.usage});
     }
--- a/src/rattandock/app/detail/config_command.cpp
+++ b/src/rattandock/app/detail/config_command.cpp
@@ -44,6 +44,44 @@
     return readAll(in, file);
 }
 
+/// A configuration to compare with, and where it is from.
+struct OtherConfig
+{
+    std::string source;
+    fleet::FleetConfig config;
+};
+
+OtherConfig readOther(const std::string &file, const ConfigFormat &format)
+{
+    ConfigReading reading = format.read(readFile(file));
+    if (!reading.isAccepted) {
+        const auto &findings = reading.findings.items();
+        throw UsageError{"--against " + file + " has no configuration"
+                         + (findings.empty() ? std::string{}
+                                             : ": " + findings.front().place + ": "
+                                                       + findings.front().message)};
+    }
+    return {file, std::move(reading.config)};
+}
+
+std::optional<OtherConfig> otherConfig(const cxxopts::ParseResult &options,
+                                       const ConfigFormat &format)
+{
+    if (options.count("against") == 0) {
+        return std::nullopt;
+    }
+    return readOther(options["against"].as<std::string>(), format);
+}
+
+ConfigComparison compare(const OtherConfig &other, const ConfigReading &reading)
+{
+    ConfigComparison comparison{other.source, other.config.version, std::nullopt};
+    if (reading.isAccepted) {
+        comparison.differences = compareConfigurations(other.config, reading.config);
+    }
+    return comparison;
+}
+
 } // namespace
 
 int runConfigCommand(const cxxopts::ParseResult &options, const ConfigFormat &format,
@@ -55,13 +93,19 @@
     if (options.count("FILE") == 0) {
         throw UsageError{"FILE is missing"};
     }
+    const auto other = otherConfig(options, format);
     ConfigReport report;
     report.file = options["FILE"].as<std::string>();
     const ConfigReading reading = format.read(readFile(report.file));
     report.version = reading.config.version;
     report.isAccepted = reading.isAccepted;
     report.queues = reading.config.queues.size();
-    report.findings = checkConfiguration(reading, format, std::nullopt);
+    if (other) {
+        report.findings = checkConfiguration(reading, format, other->config.version);
+        report.comparison = compare(*other, reading);
+    } else {
+        report.findings = checkConfiguration(reading, format, std::nullopt);
+    }
     if (options.count("json") > 0) {
         out << boost::json::serialize(toJson(report)) << '\n';
     } else {
