Compare a configuration with the one in force

Cause: the file of the last change is not always what is in force, and the daemon told only the version of its configuration. Change: the operator listener answers GET /v1/configuration with the version and the queues in the product's names. It writes 100 queues at a time and lets other fibers run in between, because all of 10,000 at once would delay starts on a VM with a small share of a core; the configuration is shared, so one that is replaced meanwhile is still written whole.

--- a/completions/rattandockctl.bash
+++ b/completions/rattandockctl.bash
@@ -28,7 +28,7 @@
     return
   fi
   if [ "$command" = config ]; then
-    options="$options --against"
+    options="$options --against --against-active"
   fi
   if [ "$command" = submit ]; then
     options="$options --file --key --id"
--- a/include/rattandock/app/fleet_api.hpp
+++ b/include/rattandock/app/fleet_api.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <functional>
-#include <optional>
+#include <memory>
 
 #include "rattandock/adapters/http_message.hpp"
 #include "rattandock/adapters/metrics.hpp"
@@ -49,6 +49,7 @@
     adapters::HttpResponse metrics();
     adapters::HttpResponse status() const;
     adapters::HttpResponse explain(const JobId &id) const;
+    adapters::HttpResponse configuration() const;
     bool isReady() const;
 
     FleetLoop &m_loop;
@@ -57,7 +58,9 @@
     CallerFormat m_format;
     VmId m_vm;
     Duration m_callerWait;
-    std::optional<fleet::FleetConfig> m_config;
+    /// Nothing before the first one. Shared, so that a fiber can go on reading one that is
+    /// replaced.
+    std::shared_ptr<const fleet::FleetConfig> m_config;
     TimePoint m_startedAt;
     bool m_isDraining = false;
 };
--- a/src/rattandock/app/control.cpp
+++ b/src/rattandock/app/control.cpp
@@ -77,6 +77,7 @@
         add("ACTION", "check", cxxopts::value<std::string>());
         add("FILE", "configuration in JSON, - for standard input", cxxopts::value<std::string>());
         add("against", "earlier configuration to compare with", cxxopts::value<std::string>());
+        add("against-active", "compare with the configuration in force at the daemon");
         options.parse_positional({"ACTION", "FILE"});
         options.positional_help(std::string{command.usage});
     }
@@ -326,6 +327,9 @@
     } catch (const Unreachable &error) {
         err << "rattandockctl: " << error.message << '\n';
         return exitUnreachable;
+    } catch (const OperationFailed &error) {
+        err << "rattandockctl: " << error.message << '\n';
+        return exitFailed;
     }
 }
 
--- a/src/rattandock/app/detail/config_command.cpp
+++ b/src/rattandock/app/detail/config_command.cpp
@@ -7,6 +7,7 @@
 #include "control_request.hpp"
 #include "rattandock/app/config_check.hpp"
 #include "rattandock/app/config_report.hpp"
+#include "rattandock/app/configuration_json.hpp"
 #include "rattandock/app/exit_code.hpp"
 
 namespace rattandock::app {
@@ -64,9 +65,33 @@
     return {file, std::move(reading.config)};
 }
 
+OtherConfig askForOther(const cxxopts::ParseResult &options)
+{
+    const std::string source = "the daemon at " + options["operator"].as<std::string>();
+    const auto answer = askDaemon(options, "operator", "GET", "/v1/configuration");
+    if (answer.status != 200) {
+        throw OperationFailed{
+                source + " gives no configuration (status " + std::to_string(answer.status)
+                + "): none is in force, or it is of an older build or without a fleet"};
+    }
+    auto config = parseConfiguration(answer.body);
+    if (!config) {
+        const Finding &it = config.error().items().front();
+        throw OperationFailed{source + " gives a configuration that cannot be read: " + it.place
+                              + ": " + it.message};
+    }
+    return {source, std::move(config.value())};
+}
+
 std::optional<OtherConfig> otherConfig(const cxxopts::ParseResult &options,
                                        const ConfigFormat &format)
 {
+    if (options.count("against-active") > 0) {
+        if (options.count("against") > 0) {
+            throw UsageError{"--against and --against-active exclude each other"};
+        }
+        return askForOther(options);
+    }
     if (options.count("against") == 0) {
         return std::nullopt;
     }
--- a/src/rattandock/app/detail/control_request.hpp
+++ b/src/rattandock/app/detail/control_request.hpp
@@ -20,6 +20,12 @@
     std::string message;
 };
 
+/// The daemon answered, but not with what was asked for.
+struct OperationFailed
+{
+    std::string message;
+};
+
 /// Sends one request to the listener (`caller` or `operator`) that the option of this name states.
 /// The request ends after `--timeout-ms` plus `extraMs`.
 /// Errors: throws UsageError for a wrong option, Unreachable if there is no answer.
--- a/src/rattandock/app/fleet_api.cpp
+++ b/src/rattandock/app/fleet_api.cpp
@@ -1,9 +1,11 @@
 #include "rattandock/app/fleet_api.hpp"
 
+#include <boost/fiber/operations.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
 #include "rattandock/adapters/log.hpp"
+#include "rattandock/app/configuration_json.hpp"
 #include "rattandock/base/overloaded.hpp"
 
 namespace rattandock::app {
@@ -20,6 +22,10 @@
 /// a time to come back, which is better for callers than no answer.
 constexpr Duration readyWithoutUpstreams = std::chrono::seconds{6};
 
+/// Queues that are written before other fibers get a turn. All of 10,000 at once would delay starts
+/// and answers on a VM with a small share of a core.
+constexpr std::size_t queuesPerTurn = 100;
+
 HttpResponse reply(unsigned status, const json::object &object)
 {
     return {status, json::serialize(object) + '\n', {}};
@@ -64,7 +70,7 @@
                 + " queues=" + std::to_string(config.queues.size())
                 + " previous=" + std::to_string(m_config ? m_config->version.value() : 0));
     m_metrics.count("configuration_in_force", "accepted");
-    m_config = std::move(config);
+    m_config = std::make_shared<const fleet::FleetConfig>(std::move(config));
 }
 
 HttpResponse FleetApi::serveCaller(const HttpRequest &request)
@@ -145,6 +151,9 @@
     if (request.path == "/v1/status") {
         return status();
     }
+    if (request.path == "/v1/configuration") {
+        return configuration();
+    }
     if (request.path.starts_with(explainPath)) {
         const auto id = adapters::percentDecodeStrictly(request.path.substr(explainPath.size()));
         return id ? explain(JobId{*id}) : reply(400, {{"error", "bad-escape"}});
@@ -199,6 +208,24 @@
                        {"decisions", std::move(decisions)}});
 }
 
+HttpResponse FleetApi::configuration() const
+{
+    // The fiber is suspended below, and meanwhile another configuration can come into force.
+    const auto config = m_config;
+    if (!config) {
+        return reply(404, {{"error", "no-configuration"}});
+    }
+    ConfigurationWriter writer{config->version};
+    std::size_t n = 0;
+    for (const fleet::QueueSpec &it : config->queues) {
+        if (++n % queuesPerTurn == 0) {
+            boost::this_fiber::yield();
+        }
+        writer.add(it);
+    }
+    return {200, writer.finish(), {}};
+}
+
 HttpResponse FleetApi::explain(const JobId &id) const
 {
     const std::vector<HistoryEntry> entries = m_history.about(id);
--- a/src/rattandock/app/fleet_api_test.cpp
+++ b/src/rattandock/app/fleet_api_test.cpp
@@ -1,9 +1,11 @@
 #include "rattandock/app/fleet_api.hpp"
 
+#include <boost/fiber/fiber.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "rattandock/adapters/system_clock.hpp"
+#include "rattandock/app/configuration_json.hpp"
 
 using namespace rattandock;
 using namespace rattandock::app;
@@ -102,4 +104,39 @@
     BOOST_TEST(statusOf("/new/") == 404U);
 }
 
+// Guards against an operator who compares with something else than what is in force: an answer
+// before there is a configuration, or one that mixes two versions because the second came into
+// force while the first was written.
+BOOST_AUTO_TEST_CASE(answersTheConfigurationInForce)
+{
+    const auto answer = [&] {
+        adapters::HttpRequest request;
+        request.method = "GET";
+        request.path = "/v1/configuration";
+        return api.serveOperator(request);
+    };
+    BOOST_TEST(answer().status == 404U);
+    fleet::FleetConfig first{ConfigurationVersion{3}, {}};
+    for (std::uint32_t n = 0; n < 1'000; ++n) {
+        fleet::QueueSpec &queue = first.queues.emplace_back();
+        queue.id = fleet::QueueId{std::to_string(n)};
+        queue.priority = n;
+    }
+    api.configure(first);
+    bool isReplaced = false;
+    boost::fibers::fiber replacing{[&] {
+        configure(4, "/new/");
+        isReplaced = true;
+    }};
+    const auto body = answer().body;
+    // The writer was suspended in between.
+    BOOST_TEST(isReplaced);
+    replacing.join();
+    const auto read = parseConfiguration(body);
+    BOOST_REQUIRE(read);
+    BOOST_TEST((read.value().version == first.version));
+    BOOST_TEST((read.value().queues == first.queues));
+    BOOST_TEST(parseConfiguration(answer().body).value().queues.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
