Compare numbers of configurations to 12 digits

Cause: the parser reads long numbers with an error of a few units of the last place, and the active configuration is written and read once more, so an unchanged stretch could be shown as changed, with the same text on both sides. Change: numbers are compared as texts of 12 digits, and a queue counts as changed only if a member is shown. Conclusion: ConfigDifferencesTest/ignoresTheLastPlacesOfNumbers covers it; before, such a queue counted as changed.

--- a/src/rattandock/app/config_differences.cpp
+++ b/src/rattandock/app/config_differences.cpp
@@ -44,24 +44,31 @@
     }
 }
 
-void keepChanges(ConfigDifferences &differences, const fleet::QueueSpec &from,
+/// True if a member differs.
+bool keepChanges(ConfigDifferences &differences, const fleet::QueueSpec &from,
                  const fleet::QueueSpec &to)
 {
+    bool isChanged = false;
     for (std::size_t n = 0; n < queueFieldCount; ++n) {
         const auto field = static_cast<QueueField>(n);
         std::string before = valueOf(from, field);
         std::string after = valueOf(to, field);
         if (before != after) {
+            isChanged = true;
             keep(differences, QueueChanged{to.id, field, std::move(before), std::move(after)});
         }
     }
+    return isChanged;
 }
 
-/// The shortest text that reads as the same number.
+/// Numbers are read with an error of a few units of the last place, which is no difference.
 std::string textOf(double number)
 {
+    constexpr int digits = 12;
     std::array<char, 32> buf{};
-    const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), number).ptr;
+    const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), number,
+                                   std::chars_format::general, digits)
+                             .ptr;
     return {buf.data(), end};
 }
 
@@ -107,9 +114,8 @@
             keep(differences, QueueAdded{it.id});
             continue;
         }
-        if (*old->second != it) {
+        if (*old->second != it && keepChanges(differences, *old->second, it)) {
             ++differences.changed;
-            keepChanges(differences, *old->second, it);
         }
         before.erase(old);
     }
--- a/src/rattandock/app/config_differences_test.cpp
+++ b/src/rattandock/app/config_differences_test.cpp
@@ -1,6 +1,7 @@
 #include "rattandock/app/config_differences.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 #include "rattandock/base/overloaded.hpp"
 
@@ -92,6 +93,19 @@
                 == Strings{"a.pathPrefix /2/ /3/", "+a"}));
 }
 
+// Guards against a difference that is due to the reading of numbers only.
+BOOST_AUTO_TEST_CASE(ignoresTheLastPlacesOfNumbers)
+{
+    auto from = queue("a", "/a/");
+    auto to = from;
+    from.stretch = 1.6;
+    to.stretch = std::nextafter(1.6, 2.0);
+    BOOST_REQUIRE((from != to));
+    const auto it = compareConfigurations({{}, {from}}, {{}, {to}});
+    BOOST_TEST(it.items.empty());
+    BOOST_TEST(it.changed == 0U);
+}
+
 // Guards against differences that are lost without being counted.
 BOOST_AUTO_TEST_CASE(countsDifferencesThatAreNotKept)
 {
