--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -6,14 +6,16 @@
 
 runs=${1:-100000}
 seed=20240601
-targets=(parse_job parse_settings parse_home_job_id parse_submission)
+targets=(parse_job parse_settings parse_home_job_id parse_submission check_configuration)
 sources=(
   src/rattandock/base/finding.cpp
   src/rattandock/core/{home_token,job_outcome,placement_policy,reason}.cpp
   src/rattandock/adapters/{base64,job_json,json_document,json_object_reader,json_parse,settings}.cpp
   src/rattandock/adapters/http_message.cpp
   src/rattandock/fleet/{fleet_action,submission}.cpp
-  platform/{json_fields,submission_codec,directory_codec}.cpp
+  src/rattandock/app/{config_check,config_differences,config_finding,config_reading}.cpp
+  src/rattandock/app/{config_report,configuration_json}.cpp
+  platform/{json_fields,submission_codec,directory_codec,configuration_codec}.cpp
 )
 out=build/fuzz
 mkdir -p "$out"
