Find members that an object of a configuration has twice

Cause: the parser keeps only the last of several members with the same name, so a value that was written twice changes nothing, without a word. Change: the check follows the names of open objects in a second pass over the text and reports each repeated member as an error (duplicate-field). The daemon still accepts them.

--- a/include/rattandock/app/config_finding.hpp
+++ b/include/rattandock/app/config_finding.hpp
@@ -25,6 +25,7 @@
     NotJson,
     WrongValue,
     UnknownField,
+    DuplicateField,
     NoVersion,
     VersionNotAbove,
     NoService,
@@ -44,7 +45,7 @@
     AdviceUnsupported
 };
 
-inline constexpr std::size_t configRuleCount = 21;
+inline constexpr std::size_t configRuleCount = 22;
 /// Stable names for scripts.
 std::string_view name(ConfigRule rule);
 Severity severityOf(ConfigRule rule);
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -15,7 +15,7 @@
   src/rattandock/fleet/{fleet_action,submission}.cpp
   src/rattandock/app/{config_check,config_differences,config_finding,config_reading}.cpp
   src/rattandock/app/{config_report,configuration_json}.cpp
-  platform/{json_fields,submission_codec,directory_codec,configuration_codec}.cpp
+  platform/{json_fields,submission_codec,directory_codec,configuration_codec,duplicate_members}.cpp
 )
 out=build/fuzz
 mkdir -p "$out"
--- a/src/rattandock/app/config_finding.cpp
+++ b/src/rattandock/app/config_finding.cpp
@@ -15,6 +15,7 @@
         {"not-json", Severity::Error},
         {"wrong-value", Severity::Error},
         {"unknown-field", Severity::Error},
+        {"duplicate-field", Severity::Error},
         {"no-version", Severity::Error},
         {"version-not-above", Severity::Error},
         {"no-service", Severity::Error},
