Test for no findings with empty()

Cause: lint reports comparisons with an empty vector in two tests of the configuration check. Change: they call empty().

--- a/src/rattandock/app/config_check_test.cpp
+++ b/src/rattandock/app/config_check_test.cpp
@@ -79,8 +79,8 @@
 BOOST_AUTO_TEST_CASE(comparesTheVersion)
 {
     const auto it = reading({queue("a", "/a/")});
-    BOOST_TEST((found(it) == Strings{}));
-    BOOST_TEST((found(it, ConfigurationVersion{7}) == Strings{}));
+    BOOST_TEST(found(it).empty());
+    BOOST_TEST(found(it, ConfigurationVersion{7}).empty());
     BOOST_TEST((found(it, ConfigurationVersion{8}) == Strings{"version version-not-above"}));
     BOOST_TEST((found(it, ConfigurationVersion{9}) == Strings{"version version-not-above"}));
 }
@@ -112,7 +112,7 @@
                     == Strings{"0.pathPrefix prefix-never-matches"}),
                    prefix);
     }
-    BOOST_TEST((foundAfter([](auto &it) { it.pathPrefix = ""; }) == Strings{}));
+    BOOST_TEST(foundAfter([](auto &it) { it.pathPrefix = ""; }).empty());
 }
 
 // Guards against reporting another queue as the one without jobs than the one that queueFor() never
@@ -148,12 +148,11 @@
     static constexpr milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
     BOOST_TEST((foundAfter([](auto &it) { it.timeout = milliseconds{59}; })
                 == Strings{"0.timeoutMs timeout-below-target"}));
-    BOOST_TEST((foundAfter([](auto &it) {
-                    it.timeout = milliseconds{60};
-                    it.maxAttempts = 1;
-                })
-                == Strings{}));
-    BOOST_TEST((foundAfter([](auto &it) { it.maxAttempts = 25; }) == Strings{}));
+    BOOST_TEST(foundAfter([](auto &it) {
+                   it.timeout = milliseconds{60};
+                   it.maxAttempts = 1;
+               }).empty());
+    BOOST_TEST(foundAfter([](auto &it) { it.maxAttempts = 25; }).empty());
     BOOST_TEST((foundAfter([](auto &it) { it.maxAttempts = 26; })
                 == Strings{"0.maxAttempts attempts-exceed-timeout"}));
     BOOST_TEST((foundAfter([](auto &it) {
@@ -163,7 +162,7 @@
                 })
                 == Strings{"0.maxAttempts attempts-exceed-timeout"}));
     // A timeout of 0 is no limit.
-    BOOST_TEST((foundAfter([](auto &it) { it.timeout = {}; }) == Strings{}));
+    BOOST_TEST(foundAfter([](auto &it) { it.timeout = {}; }).empty());
     BOOST_TEST((foundAfter([](auto &it) {
                     it.stretch = 0;
                     it.targetLatency = {};
--- a/src/rattandock/app/config_differences_test.cpp
+++ b/src/rattandock/app/config_differences_test.cpp
@@ -60,7 +60,7 @@
     const auto a = queue("a", "/a/");
     const auto b = queue("b", "/b/");
     const auto c = queue("c", "/c/");
-    BOOST_TEST((differences({a, b}, {b, a}) == Strings{}));
+    BOOST_TEST(differences({a, b}, {b, a}).empty());
     BOOST_TEST((differences({a, b, c}, {queue("d", "/d/"), c, queue("e", "/e/")})
                 == Strings{"+d", "+e", "-a", "-b"}));
 }
@@ -87,7 +87,7 @@
 BOOST_AUTO_TEST_CASE(comparesQueuesOfTheSameNameInOrder)
 {
     const std::vector from{queue("a", "/1/"), queue("a", "/2/")};
-    BOOST_TEST((differences(from, from) == Strings{}));
+    BOOST_TEST(differences(from, from).empty());
     BOOST_TEST((differences(from, {queue("a", "/1/")}) == Strings{"-a"}));
     BOOST_TEST((differences(from, {queue("a", "/1/"), queue("a", "/3/"), queue("a", "/4/")})
                 == Strings{"a.pathPrefix /2/ /3/", "+a"}));
