Merge the check of a configuration

rattandockctl config check reads a configuration with the daemon's decoder and prints its findings and the differences from another one or from that in force.

--- a/src/rattandock/app/control.cpp
+++ b/src/rattandock/app/control.cpp
@@ -10,7 +10,8 @@
 #include <random>
 #include <sstream>
 
-#include "rattandock/adapters/http_client.hpp"
+#include "detail/config_command.hpp"
+#include "detail/control_request.hpp"
 #include "rattandock/app/exit_code.hpp"
 #include "rattandock/app/json_table.hpp"
 #include "rattandock/app/log_timeline.hpp"
@@ -18,47 +19,37 @@
 namespace rattandock::app {
 
 namespace json = boost::json;
-using adapters::HttpRequest;
 using adapters::HttpResponse;
 
 namespace {
 
-constexpr std::array<ControlCommand, 8> commands{{
-        {"submit", "Submit a job and print its answer.", ""},
-        {"status", "Show the state of the daemon.", ""},
-        {"job", "Show the state of one job.", "ID"},
-        {"explain", "Show what was decided about one job and why.", "ID"},
-        {"logs", "Join the lines about one job from the logs of several VMs.", "ID"},
-        {"cancel", "Cancel the unstarted tasks of one job.", "ID"},
-        {"drain", "Begin the planned stop of the daemon.", ""},
-        {"token", "Get a home token for job ids.", ""},
+constexpr std::array<ControlCommand, 9> commands{{
+        {"submit", "Submit a job and print its answer.", "", ""},
+        {"status", "Show the state of the daemon.", "", ""},
+        {"job", "Show the state of one job.", "ID", "ID"},
+        {"explain", "Show what was decided about one job and why.", "ID", "ID"},
+        {"logs", "Join the lines about one job from the logs of several VMs.", "ID", "ID FILE..."},
+        {"cancel", "Cancel the unstarted tasks of one job.", "ID", "ID"},
+        {"drain", "Begin the planned stop of the daemon.", "", ""},
+        {"token", "Get a home token for job ids.", "", ""},
+        {"config", "Check a configuration before it is sent.", "", "check FILE"},
 }};
 
 /// Added to a job's deadline: time for the connection and the answer.
 constexpr std::int64_t submitMarginMs = 2'000;
 
-struct UsageError
-{
-    std::string message;
-};
-
-/// The daemon gave no answer.
-struct Unreachable
-{
-    std::string message;
-};
-
 std::string programHelp()
 {
     std::string text = "Usage: rattandockctl COMMAND [OPTION...]\n\nCommands:\n";
     for (const ControlCommand &it : commands) {
-        const std::string use = std::string{it.name} + (it.argument.empty() ? "" : " ID");
-        text += "  " + use + std::string(12 - use.size(), ' ') + std::string{it.help} + '\n';
+        const std::string use = std::string{it.name} + ' ' + std::string{it.usage};
+        text += "  " + use + std::string(20 - use.size(), ' ') + std::string{it.help} + '\n';
     }
     return text
            + "\nrattandockctl COMMAND --help shows the options of a command.\n\n"
-             "Exit codes: 0 success, 1 the operation failed or the job did not complete,\n"
-             "2 usage error or unreadable job file, 4 no answer from the daemon.\n";
+             "Exit codes: 0 success, 1 the operation failed, the job did not complete or the\n"
+             "configuration has errors, 2 usage error or unreadable file, 4 no answer from the\n"
+             "daemon.\n";
 }
 
 cxxopts::Options optionsOf(const ControlCommand &command)
@@ -82,6 +73,14 @@
     if (command.name == "logs") {
         add("FILE", "log of one VM", cxxopts::value<std::vector<std::string>>());
     }
+    if (command.name == "config") {
+        add("ACTION", "check", cxxopts::value<std::string>());
+        add("FILE", "configuration in JSON, - for standard input", cxxopts::value<std::string>());
+        add("against", "earlier configuration to compare with", cxxopts::value<std::string>());
+        add("against-active", "compare with the configuration in force at the daemon");
+        options.parse_positional({"ACTION", "FILE"});
+        options.positional_help(std::string{command.usage});
+    }
     if (!command.argument.empty()) {
         add(std::string{command.argument}, "id of the job", cxxopts::value<std::string>());
         const std::string more = command.name == "logs" ? " FILE..." : "";
@@ -96,10 +95,11 @@
 class Control
 {
 public:
-    Control(const ControlCommand &command, const cxxopts::ParseResult &options, std::ostream &out,
-            std::ostream &err)
+    Control(const ControlCommand &command, const cxxopts::ParseResult &options,
+            const ConfigFormat &format, std::ostream &out, std::ostream &err)
         : m_command(command)
         , m_options(options)
+        , m_format(format)
         , m_out(out)
         , m_err(err)
     {
@@ -122,6 +122,9 @@
         if (m_command.name == "logs") {
             return joinLogs();
         }
+        if (m_command.name == "config") {
+            return runConfigCommand(m_options, m_format, m_out);
+        }
         const std::string id = adapters::percentEncode(text(std::string{m_command.argument}));
         if (m_command.name == "explain") {
             return print(ask("operator", "GET", "/v1/explain/" + id));
@@ -142,27 +145,7 @@
     HttpResponse ask(const std::string &listener, const std::string &method,
                      const std::string &path, std::string body = {}, std::int64_t extraMs = 0) const
     {
-        const std::string address = m_options[listener].as<std::string>();
-        const auto server = adapters::parseEndpoint(address);
-        if (!server) {
-            throw UsageError{"--" + listener + " must be IP:PORT, not " + address};
-        }
-        const auto limitMs = m_options["timeout-ms"].as<std::int64_t>();
-        if (limitMs < 1 || limitMs > 3'600'000) {
-            throw UsageError{"--timeout-ms must be from 1 to 3600000"};
-        }
-        HttpRequest request;
-        request.method = method;
-        request.path = path;
-        request.body = std::move(body);
-        auto answer = adapters::sendHttpRequest(*server, request,
-                                                std::chrono::milliseconds{limitMs + extraMs});
-        if (!answer) {
-            const std::string what = answer.error().sent ? "no answer from" : "cannot connect to";
-            throw Unreachable{what + " the daemon's " + listener + " listener at " + address + ": "
-                              + answer.error().ec.message()};
-        }
-        return std::move(answer.value());
+        return askDaemon(m_options, listener, method, path, std::move(body), extraMs);
     }
 
     int print(const HttpResponse &response) const
@@ -285,12 +268,13 @@
 
     const ControlCommand &m_command;
     const cxxopts::ParseResult &m_options;
+    const ConfigFormat &m_format;
     std::ostream &m_out;
     std::ostream &m_err;
 };
 
 int runCommand(const ControlCommand &command, const std::vector<std::string> &arguments,
-               std::ostream &out, std::ostream &err)
+               const ConfigFormat &format, std::ostream &out, std::ostream &err)
 {
     auto options = optionsOf(command);
     std::vector<const char *> argv;
@@ -305,7 +289,7 @@
     if (!parsed.unmatched().empty()) {
         throw UsageError{parsed.unmatched().front() + " is not expected"};
     }
-    return Control{command, parsed, out, err}.run();
+    return Control{command, parsed, format, out, err}.run();
 }
 
 } // namespace
@@ -316,7 +300,7 @@
 }
 
 int runControl(const std::vector<std::string> &arguments, std::string_view version,
-               std::ostream &out, std::ostream &err)
+               const ConfigFormat &format, std::ostream &out, std::ostream &err)
 {
     const std::string first = arguments.empty() ? "" : arguments.front();
     if (first == "--help" || first == "-h") {
@@ -333,7 +317,7 @@
             throw UsageError{first.empty() ? "a command is missing"
                                            : "there is no command " + first};
         }
-        return runCommand(*command, arguments, out, err);
+        return runCommand(*command, arguments, format, out, err);
     } catch (const UsageError &error) {
         err << "rattandockctl: " << error.message << "; see rattandockctl --help\n";
         return exitUsage;
@@ -343,6 +327,9 @@
     } catch (const Unreachable &error) {
         err << "rattandockctl: " << error.message << '\n';
         return exitUnreachable;
+    } catch (const OperationFailed &error) {
+        err << "rattandockctl: " << error.message << '\n';
+        return exitFailed;
     }
 }
 
