Read how long an upstream stays cold

Cause: the entry's cold_left_ms was not read. It differs each time that the entry is written, so as a part of the entry it would send each cold upstream to all VMs of the zone every 1.5 s. UpstreamDirectory passes it to the dispatcher of its own VM apart from the entries, and comparisons and messages of entries ignore it. Nothing uses it yet.

--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -30,6 +30,13 @@
 /// The platform's list of upstreams was read, by this VM or by the VM that reads it for the zone.
 struct UpstreamListRead
 {
+    /// An upstream that is cold until a time; it is warm if the time is in the past.
+    struct Cold
+    {
+        UpstreamId upstream;
+        TimePoint until{};
+    };
+
     /// Upstreams that were added or changed, or the complete list if `isWhole` is set.
     std::vector<UpstreamEntry> present;
     std::vector<UpstreamId> removed;
@@ -38,6 +45,9 @@
     /// The list includes every change made before this time. If absent, the time of the event is
     /// used when `isWhole` is set; otherwise the age of the list stays unchanged.
     std::optional<TimePoint> asOf = std::nullopt;
+    /// Upstreams whose entries state that they are cold, or no longer. Their entries may be
+    /// unchanged apart from that and missing from `present`.
+    std::vector<Cold> cold{};
 };
 
 /// A read of the platform's list of upstreams failed.
--- a/include/rattandock/fleet/upstream_directory.hpp
+++ b/include/rattandock/fleet/upstream_directory.hpp
@@ -52,11 +52,11 @@
 /// One VM's copy of the platform's list of upstreams, with its version and age.
 ///
 /// Load pattern: each upstream rewrites its row every 1.5 s, although usually only a counter
-/// changes. With 1,100 upstreams, the changed rows exceed what one answer of the store holds, and
-/// 147 VMs that each read all of them spend most of their processor time on it. Therefore one VM
-/// per zone reads the list and forwards the changed entries to the others, which read only if no
-/// changes arrive. A copy that has fallen behind is refreshed with a snapshot instead of deltas.
-/// Thread safety: none.
+/// changes, or the time for which the upstream stays cold. With 1,100 upstreams, the changed rows
+/// exceed what one answer of the store holds, and 147 VMs that each read all of them spend most of
+/// their processor time on it. Therefore one VM per zone reads the list and forwards the changed
+/// entries to the others, which read only if no changes arrive. A copy that has fallen behind is
+/// refreshed with a snapshot instead of deltas. Thread safety: none.
 class UpstreamDirectory
 {
 public:
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -93,7 +93,8 @@
 template <Is<fleet::UpstreamEntry> T>
 auto fields(T &it)
 {
-    auto &[id, service, zone, address, draining, capacity, labels] = it;
+    // `coldLeft` is not sent: former builds refuse unknown fields, and it is outdated on arrival.
+    auto &[id, service, zone, address, draining, capacity, labels, coldLeft] = it;
     return std::tie(id, service, zone, address, draining, capacity, labels);
 }
 
--- a/src/rattandock/fleet/upstream_directory.cpp
+++ b/src/rattandock/fleet/upstream_directory.cpp
@@ -55,6 +55,16 @@
             }
         }
     }
+    for (const UpstreamEntry &it : read.present) {
+        const auto known = m_entries.find(it.id);
+        if (it.coldLeft > Duration{}
+            || (known != m_entries.end() && known->second.coldLeft > Duration{})) {
+            seen.cold.push_back({it.id, read.sentAt + it.coldLeft});
+        }
+        if (known != m_entries.end()) {
+            known->second.coldLeft = it.coldLeft;
+        }
+    }
     std::ranges::copy_if(read.present, std::back_inserter(seen.present), [&](const auto &it) {
         const auto known = m_entries.find(it.id);
         return known == m_entries.end() || known->second != it;
--- a/src/rattandock/fleet/upstream_directory_test.cpp
+++ b/src/rattandock/fleet/upstream_directory_test.cpp
@@ -142,4 +142,36 @@
     BOOST_TEST((directory.nextRead(1000) <= now));
 }
 
+// Guards against entries that are sent to all VMs of the zone every 1.5 s because an upstream
+// states each time for how much longer it is cold, and against VMs that learn this only from a
+// changed entry.
+BOOST_AUTO_TEST_CASE(passesOnColdnessApartFromEntries)
+{
+    const auto cold = [](Duration left) {
+        UpstreamEntry one = entry("a");
+        one.coldLeft = left;
+        return one;
+    };
+    const auto first = directory.applyRead(whole({cold(4s), entry("b")}, 10, now));
+    BOOST_REQUIRE(first.seen.cold.size() == 1);
+    BOOST_TEST(first.seen.cold[0].upstream.value() == "a");
+    BOOST_TEST((first.seen.cold[0].until == now + 4s));
+    now += 1500ms;
+    const auto second = directory.applyRead(changed({cold(2500ms), entry("b")}, 20, now));
+    BOOST_REQUIRE(second.changes.has_value());
+    BOOST_TEST(second.changes->present.empty());
+    BOOST_TEST(second.seen.present.empty());
+    BOOST_REQUIRE(second.seen.cold.size() == 1);
+    BOOST_TEST((second.seen.cold[0].until == now + 2500ms));
+    now += 1500ms;
+    const auto third = directory.applyRead(changed({entry("a"), entry("b")}, 30, now));
+    BOOST_TEST(third.seen.present.empty());
+    BOOST_REQUIRE(third.seen.cold.size() == 1);
+    BOOST_TEST((third.seen.cold[0].until == now));
+    now += 1500ms;
+    BOOST_TEST(directory.applyRead(changed({entry("a")}, 40, now)).seen.cold.empty());
+    // An older answer is ignored.
+    BOOST_TEST(directory.applyRead(changed({cold(4s)}, 35, now)).seen.cold.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
