Predict run times on cold upstreams

Cause: an upstream is slow for some time after its start. Its run times were predicted as on a warm one, so jobs were placed there that missed their deadlines, and the slow runs stayed in its averages. Change: the dispatcher records until when an upstream is cold. Runs started on one measure the ratio to warm ones, also if they are stopped as overdue, and do not count in the averages of the upstream and the queue. The ratio multiplies the expected run time for placement, admission and the reports to other VMs. The VM that reads the list sends changes from warm to cold and back to the linked VMs of its zone in the new message ColdUpstreams; it goes to VMs of revision 2 or later only, as a former build would close the link.

--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -95,7 +95,7 @@
 {
     VmId vm;
     std::variant<TaskOffer, TaskOfferEnded, TaskOfferWithdrawn, EvacuationState, QueuedTaskOffer,
-                 TasksReturned, UpstreamSuspicion>
+                 TasksReturned, UpstreamSuspicion, ColdUpstreams>
             message;
 };
 
@@ -145,8 +145,14 @@
     SuspicionAdopted,
     /// Most upstreams of a zone are quarantined, or no longer.
     QuarantineWidespread,
+    /// A kept upstream turned cold, or warm before the stated time.
+    UpstreamCold,
+    /// The work of upstreams that stood idle is limited after the evacuation of their zone.
+    UpstreamsLimited,
+    /// A run ended in time on such an upstream.
+    UpstreamLimitRaised,
 };
-inline constexpr std::size_t fleetLogRecordKindCount = 20;
+inline constexpr std::size_t fleetLogRecordKindCount = 23;
 std::string_view name(FleetLogRecordKind kind);
 
 /// A decision with its inputs. It is logged and counted by kind and reason.
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -20,6 +20,7 @@
 #include "rattandock/fleet/run_times.hpp"
 #include "rattandock/fleet/sharing.hpp"
 #include "rattandock/fleet/upstream_quarantine.hpp"
+#include "rattandock/fleet/warm_up.hpp"
 #include "rattandock/fleet/zone_evacuation.hpp"
 
 namespace rattandock::fleet {
@@ -47,6 +48,8 @@
     std::vector<EvacuationStatus> evacuations{};
     /// The evacuations include every request made before this time; absent if unknown.
     std::optional<TimePoint> evacuationsAsOf = std::nullopt;
+    /// Kept upstreams of zones that returned from an evacuation, with limited work.
+    std::size_t limitedUpstreams = 0;
 };
 
 /// Schedules jobs on one VM of a fleet whose upstreams are divided among the VMs through rows in
@@ -120,6 +123,8 @@
         Duration expected{};
         TimePoint startedAt;
         bool isOverdue = false;
+        /// True if the upstream was cold when the latest run was started.
+        bool isColdRun = false;
         /// Earliest time of the next start. A former run may still execute until then, or the
         /// last start was refused.
         TimePoint notBefore;
@@ -185,6 +190,8 @@
         bool isReleasing = false;
         /// When a run last succeeded on this upstream.
         TimePoint lastSuccess;
+        /// When a run last ended there, the VM began to keep it, or its process was replaced.
+        TimePoint idleSince;
     };
     /// An entry of the platform's list of upstreams.
     struct ListedUpstream
@@ -224,6 +231,7 @@
     void handleEvent(const EvacuationStateReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const OfferedTasksReturned &event, TimePoint now, FleetActions &actions);
     void handleEvent(const SuspicionReceived &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const ColdUpstreamsReceived &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamProbed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const StopRequested &event, TimePoint now, FleetActions &actions);
     void handleEvent(const ProcessPaused &event, TimePoint now, FleetActions &actions);
@@ -294,6 +302,27 @@
     /// Drops expired suspicions and updates which zones have mostly quarantined upstreams.
     void updateSuspicions(TimePoint now, FleetActions &actions);
 
+    // Cold upstreams and the return of a zone (fleet_dispatcher_warm_up.cpp).
+    /// Takes from entries which upstreams are cold, and sends changes to the VMs of the own zone.
+    void recordColdUpstreams(const std::vector<UpstreamListRead::Cold> &cold, TimePoint now,
+                             FleetActions &actions);
+    /// Records until when an upstream is cold. Returns true if that is a change.
+    bool recordColdUpstream(const UpstreamId &upstream, TimePoint until, std::string_view source,
+                            TimePoint now, FleetActions &actions);
+    /// Limits the work of the kept upstreams that stood idle in a zone which was evacuated since
+    /// `since` and returns.
+    void limitReturningUpstreams(const ZoneId &zone, TimePoint since, TimePoint now,
+                                 FleetActions &actions);
+    /// Raises the limit of an upstream after a successful run in time.
+    void raiseLimit(const UpstreamId &upstream, const Task &task, Duration elapsed, TimePoint now,
+                    FleetActions &actions);
+    /// Returns the free room of an upstream that may be used now.
+    Resources usableRoom(const KeptUpstream &kept) const;
+    /// Returns the expected ratio of run time to estimate on the upstream in its present state.
+    double runFactor(const UpstreamEntry &entry) const;
+    /// Returns the expected run time of the job's tasks on the upstream when it is warm.
+    Duration warmRunTime(const UpstreamEntry &entry, const FleetJob &job) const;
+
     // Runs (fleet_dispatcher_runs.cpp).
     /// Completes, fails or requeues the task whose run has ended.
     void handleRunEnd(const UpstreamId &upstream, const RunEnded &over, TimePoint now,
@@ -322,8 +351,10 @@
     PlacementLimits placementLimits(const FleetJob &job, Duration untilObjective,
                                     Duration untilDeadline, bool mayWaitForFaster) const;
     PlacementLimits placementLimitsOf(const Job &job, TimePoint now) const;
-    /// Adds the run time of a successful run to the statistics.
-    void addRunTime(const UpstreamEntry &upstream, const FleetJob &job, Duration elapsed);
+    /// Adds the run time of a successful run to the statistics: of warm upstreams, or of cold ones
+    /// if it was started on one.
+    void addRunTime(const UpstreamEntry &upstream, const FleetJob &job, Duration elapsed,
+                    bool isColdRun);
     /// Returns the largest run time, in percent of the predicted one, with which an upstream is
     /// useful for a task with these limits.
     static std::uint32_t maxUsefulRunTimePercent(const FleetJob &job,
@@ -479,6 +510,7 @@
     QueueProfiles m_queueProfiles;
     EstimateCorrection m_estimates;
     UpstreamQuarantine m_upstreamWatch;
+    WarmUp m_warmUp;
     /// What the keepers of other upstreams reported of them.
     std::map<UpstreamId, ReportedSuspicion> m_suspicions;
     /// Zones in which most of the kept upstreams are quarantined.
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -213,6 +213,13 @@
     UpstreamSuspicion suspicion;
 };
 
+/// Another VM of the zone reported upstreams that turned cold or warm.
+struct ColdUpstreamsReceived
+{
+    VmId from;
+    ColdUpstreams report;
+};
+
 /// A ProbeUpstream action ended.
 struct UpstreamProbed
 {
@@ -241,8 +248,8 @@
                      EvacuationsRead, EvacuationsReadFailed, MembersRead, KeepersRead,
                      KeeperWriteCompleted, StartOrderCompleted, StopOrderCompleted,
                      RunReportReceived, RunReportFailed, PeerLinkChanged, PeerInputClosed,
-                     PeerCapacityReported, SuspicionReceived, OfferReceived, OfferEnded,
-                     OfferWithdrawn, EvacuationStateReceived, OfferedTasksReturned, UpstreamProbed,
-                     StopRequested, ProcessPaused, TimerDue>;
+                     PeerCapacityReported, SuspicionReceived, ColdUpstreamsReceived, OfferReceived,
+                     OfferEnded, OfferWithdrawn, EvacuationStateReceived, OfferedTasksReturned,
+                     UpstreamProbed, StopRequested, ProcessPaused, TimerDue>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -40,7 +40,9 @@
 /// only to VMs of a revision that knows it, because a receiver closes the link on an unknown one.
 ///   0: builds that send no revision.
 ///   1: TasksReturned, QueuedTaskOffer, and an answer to each TaskOfferWithdrawn.
-inline constexpr std::uint64_t fleetRevision = 1;
+///   2: ColdUpstreams.
+inline constexpr std::uint64_t fleetRevision = 2;
+inline constexpr std::uint64_t coldUpstreamsRevision = 2;
 
 /// Asks a VM to run some tasks of a job on its upstreams. The receiver answers with one
 /// TaskOfferEnded unless the link is lost first. Size: the job plus 4 B for each task.
@@ -132,6 +134,22 @@
     Duration age{};
 };
 
+/// How much longer an upstream is slow because its process started recently.
+struct ColdUpstream
+{
+    UpstreamId upstream;
+    /// Time from the sending of the message; zero if the upstream is warm.
+    Duration left{};
+};
+
+/// Upstreams that turned cold, or warm before the time that was sent earlier. Sent to the linked
+/// VMs of revision 2 or later in the own zone by a VM that read it from the store, as entries in
+/// UpstreamChanges do not contain it. Size: 8 B and about 30 B for each upstream.
+struct ColdUpstreams
+{
+    std::vector<ColdUpstream> upstreams;
+};
+
 /// How far the keeper of an upstream trusts it. Sent to the linked VMs of the upstream's zone at
 /// each change and when the keeper gives up the upstream, for the next keeper. Size: about 60 B.
 struct UpstreamSuspicion
--- a/include/rattandock/fleet/warm_up.hpp
+++ b/include/rattandock/fleet/warm_up.hpp
@@ -35,13 +35,13 @@
     /// warm. Times more than `maxTime` ahead are shortened. Returns true if the upstream changes
     /// between warm and cold, or stays cold for so much longer that its process was replaced.
     bool setColdUntil(const UpstreamId &upstream, TimePoint until, TimePoint now);
-    bool isCold(const UpstreamId &upstream, TimePoint now) const
+    /// Returns whether the upstream was cold at the last call of expire() or setColdUntil().
+    bool isCold(const UpstreamId &upstream) const
     {
-        return coldUntil(upstream) > now;
+        return !m_coldUntil.empty() && m_coldUntil.contains(upstream);
     }
     /// Returns until when the upstream is cold, or `TimePoint::min()` if it has no record.
     TimePoint coldUntil(const UpstreamId &upstream) const;
-    /// Returns true if there may be cold upstreams, without a look at their times.
     bool hasColdUpstreams() const { return !m_coldUntil.empty(); }
 
     /// Adds the run time of a successful run that was started on a cold upstream.
@@ -53,9 +53,9 @@
     /// Returns the ratio of run times on cold upstreams to those on warm ones, 1 to 16.
     double ratio() const;
     /// Returns the factor on the run time on this upstream: ratio() if it is cold, else 1.
-    double runTimeFactor(const UpstreamId &upstream, TimePoint now) const
+    double runTimeFactor(const UpstreamId &upstream) const
     {
-        return !m_coldUntil.empty() && isCold(upstream, now) ? ratio() : 1;
+        return isCold(upstream) ? ratio() : 1;
     }
 
     /// Limits the work of the upstream to a quarter of its CPU. A limit that exists is kept.
@@ -69,6 +69,10 @@
     /// of any size.
     Resources usableRoom(const UpstreamId &upstream, const Resources &capacity,
                          const Resources &free, bool hasRuns) const;
+    /// Returns the part of the free CPU to report to other VMs: of an upstream without runs enough
+    /// for one task, not for several that would come back.
+    std::uint32_t reportedCpu(const UpstreamId &upstream, const Resources &capacity,
+                              const Resources &free, bool hasRuns) const;
     /// Returns the number of tasks that need `cpu` and may be started now.
     std::size_t usableStarts(const UpstreamId &upstream, const Resources &capacity,
                              const Resources &free, bool hasRuns, MilliCores cpu) const;
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -120,6 +120,15 @@
             {"quarantine_widespread",
              "Changes between few and most upstreams of a zone in quarantine.",
              {"began", "ended"}},
+            {"upstream_cold",
+             "Changes between warm and cold of upstreams that this VM keeps, by source.",
+             {"store", "peer"}},
+            {"upstreams_limited",
+             "Returns of zones after which the work of idle upstreams is limited.",
+             {"zone-returned"}},
+            {"upstream_limit_raised",
+             "Steps of the work on upstreams of a zone that returned.",
+             {"half", "full"}},
             {"configuration_in_force", "Configurations that came into force.", {"accepted"}},
     };
 }
@@ -136,6 +145,7 @@
             {"kept_upstreams", "Upstreams that this VM keeps."},
             {"linked_vms", "Other VMs with a link that is up."},
             {"evacuated_zones", "Zones that the operator evacuates."},
+            {"limited_upstreams", "Upstreams of a zone that returned, with limited work."},
             {"resident_memory_bytes", "Resident memory of the process."},
     };
 }
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -126,6 +126,20 @@
     return std::tie(upstream, processStart, state, age);
 }
 
+template <Is<fleet::ColdUpstream> T>
+auto fields(T &it)
+{
+    auto &[upstream, left] = it;
+    return std::tie(upstream, left);
+}
+
+template <Is<fleet::ColdUpstreams> T>
+auto fields(T &it)
+{
+    auto &[upstreams] = it;
+    return std::tie(upstreams);
+}
+
 template <Is<core::Resources> T>
 auto fields(T &it)
 {
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -212,6 +212,10 @@
                                       duration()};
     case 15:
         return fleet::TasksReturned{number(), listOf(shortNumber), shortNumber()};
+    case 16:
+        return fleet::ColdUpstreams{listOf([] {
+            return fleet::ColdUpstream{UpstreamId{text()}, duration()};
+        })};
     default:
         return fleet::UpstreamSuspicion{
                 UpstreamId{text()},
@@ -333,6 +337,15 @@
            && age == b.age;
 }
 
+bool same(const fleet::ColdUpstreams &a, const fleet::ColdUpstreams &b)
+{
+    const auto &[upstreams] = a;
+    return std::ranges::equal(upstreams, b.upstreams, [](const auto &x, const auto &y) {
+        const auto &[upstream, left] = x;
+        return upstream == y.upstream && left == y.left;
+    });
+}
+
 bool same(const core::PeerMessage &a, const core::PeerMessage &b)
 {
     return a.index() == b.index()
--- a/src/rattandock/app/event_history.cpp
+++ b/src/rattandock/app/event_history.cpp
@@ -57,6 +57,9 @@
     case fleet::FleetLogRecordKind::UpstreamGone:
     case fleet::FleetLogRecordKind::UpstreamSetAside:
     case fleet::FleetLogRecordKind::UpstreamRestored:
+    case fleet::FleetLogRecordKind::UpstreamCold:
+    case fleet::FleetLogRecordKind::UpstreamsLimited:
+    case fleet::FleetLogRecordKind::UpstreamLimitRaised:
         return LogPart::Upstream;
     case fleet::FleetLogRecordKind::PeerLink:
         return LogPart::Peer;
--- a/src/rattandock/app/fleet_api.cpp
+++ b/src/rattandock/app/fleet_api.cpp
@@ -161,6 +161,7 @@
     m_metrics.set("kept_upstreams", static_cast<double>(status.keptUpstreams));
     m_metrics.set("linked_vms", static_cast<double>(status.linkedVms));
     m_metrics.set("evacuated_zones", static_cast<double>(status.evacuations.size()));
+    m_metrics.set("limited_upstreams", static_cast<double>(status.limitedUpstreams));
     m_metrics.set("resident_memory_bytes", static_cast<double>(adapters::residentBytes()));
     HttpResponse response{200, m_metrics.text(), {}};
     response.contentType = "text/plain; version=0.0.4";
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -275,6 +275,9 @@
                           [&](const fleet::UpstreamSuspicion &it) {
                               post(fleet::SuspicionReceived{event.from, it});
                           },
+                          [&](const fleet::ColdUpstreams &it) {
+                              post(fleet::ColdUpstreamsReceived{event.from, it});
+                          },
                           [&](const fleet::UpstreamChanges &it) {
                               // Notices a pause first.
                               post(fleet::TimerDue{});
--- a/src/rattandock/core/peer_message.cpp
+++ b/src/rattandock/core/peer_message.cpp
@@ -11,7 +11,7 @@
             "slot-grant",          "slot-release",     "handover-records",  "handover-pointer",
             "configuration-delta", "task-offer",       "task-offer-ended",  "task-offer-withdrawn",
             "upstream-changes",    "evacuation-state", "queued-task-offer", "tasks-returned",
-            "upstream-suspicion"};
+            "upstream-suspicion",  "cold-upstreams"};
     return names.at(message.index());
 }
 
--- a/src/rattandock/fleet/fleet_action.cpp
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -41,7 +41,10 @@
             "evacuation-requested",
             "evacuation-withdrawn",
             "suspicion-adopted",
-            "quarantine-widespread"};
+            "quarantine-widespread",
+            "upstream-cold",
+            "upstreams-limited",
+            "upstream-limit-raised"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -54,6 +54,7 @@
         m_endingRuns.expire(now);
         refuseUnservedJobs(now, actions);
         updateSuspicions(now, actions);
+        m_warmUp.expire(now);
     }
     stepLedgers(now, actions);
     dispatch(now, actions);
@@ -112,8 +113,7 @@
             continue;
         }
         const UpstreamEntry &entry = kept.ledger.entry();
-        const auto percent =
-                static_cast<std::uint32_t>(100 * m_runTimes.factor(id, upstreamKind(entry)));
+        const auto percent = static_cast<std::uint32_t>(100 * runFactor(entry));
         report.usableCpu += entry.capacity.cpu.value();
         report.fastestPercent =
                 report.fastestPercent == 0 ? percent : std::min(report.fastestPercent, percent);
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -73,7 +73,7 @@
     std::size_t places = m_sharedRoom.countFittingTasks(job.need.cpu, maxPercent);
     for (const auto &[id, kept] : m_keptUpstreams) {
         const UpstreamEntry &entry = kept.ledger.entry();
-        const bool isUseful = 100 * m_runTimes.factor(id, upstreamKind(entry)) <= maxPercent;
+        const bool isUseful = 100 * runFactor(entry) <= maxPercent;
         if (entry.service == job.service && isUseful && mayPlaceOn(kept, now)) {
             const std::size_t fitting =
                     kept.ledger.freeRoom().cpu.value() / std::max(job.need.cpu.value(), 1U);
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -45,15 +45,19 @@
 
 double FleetDispatcher::ownFastestFactor() const
 {
-    if (m_evacuations.zones().empty()) {
+    const bool hasColdUpstream = m_warmUp.hasColdUpstreams()
+                                 && std::ranges::any_of(m_keptUpstreams, [this](const auto &it) {
+                                        return m_warmUp.isCold(it.first);
+                                    });
+    if (m_evacuations.zones().empty() && !hasColdUpstream) {
         return m_runTimes.fastestFactor();
     }
-    // No task may wait for an upstream of an evacuated zone.
+    // No task may wait for an upstream of an evacuated zone, or for a fast one that is slow now.
     double fastest = m_runTimes.meanFactor();
     for (const auto &[id, kept] : m_keptUpstreams) {
         const UpstreamEntry &entry = kept.ledger.entry();
         if (!m_evacuations.isEvacuated(entry.zone)) {
-            fastest = std::min(fastest, m_runTimes.factor(id, upstreamKind(entry)));
+            fastest = std::min(fastest, runFactor(entry));
         }
     }
     return fastest;
@@ -100,7 +104,10 @@
             && it.ledger.runCountOfJob(number) >= job.spec.maxPerUpstream) {
             continue;
         }
-        Duration expected = m_runTimes.expected(id, upstreamKind(entry), predictedRun(job.spec));
+        Duration expected = warmRunTime(entry, job.spec);
+        if (m_warmUp.isCold(id)) {
+            expected = scaled(expected, m_warmUp.ratio());
+        }
         if (!isOnRack(entry, job.spec.preferredRack)) {
             expected = scaled(expected, remoteDataFactor);
         }
@@ -119,6 +126,7 @@
     task.expected = candidates[*choice].expected;
     task.startedAt = now;
     task.isOverdue = false;
+    task.isColdRun = m_warmUp.isCold(upstream);
     --job.waiting;
     job.hasStarted = true;
     const RunName name{job.spec.id.value(), 0, 0, job.indices[index]};
@@ -176,8 +184,13 @@
 }
 
 void FleetDispatcher::addRunTime(const UpstreamEntry &upstream, const FleetJob &job,
-                                 Duration elapsed)
+                                 Duration elapsed, bool isColdRun)
 {
+    // The averages predict runs on the upstream after it has warmed up.
+    if (isColdRun) {
+        m_warmUp.addColdRun(warmRunTime(upstream, job), elapsed);
+        return;
+    }
     const std::string kind = upstreamKind(upstream);
     const double speed = m_runTimes.factor(upstream.id, kind) / m_runTimes.meanFactor();
     m_runTimes.addSample(upstream.id, kind, predictedRun(job), elapsed);
@@ -217,7 +230,7 @@
         const auto listed = m_listedUpstreams.find(upstream);
         if (listed != m_listedUpstreams.end() && job.spec.estimate > Duration{}
             && isOnRack(listed->second.entry, job.spec.preferredRack)) {
-            addRunTime(listed->second.entry, job.spec, over.elapsed);
+            addRunTime(listed->second.entry, job.spec, over.elapsed, task.isColdRun);
         }
         return completeTask(number, job, task, actions);
     }
@@ -304,6 +317,10 @@
                 continue;
             }
             task.isOverdue = true;
+            const UpstreamEntry &entry = kept->second.ledger.entry();
+            if (task.isColdRun && isOnRack(entry, job.spec.preferredRack)) {
+                m_warmUp.addUnfinishedColdRun(warmRunTime(entry, job.spec), now - task.startedAt);
+            }
             recordRunResult(task.upstream, {number, TaskIndex{n}}, false, "overdue", now, actions);
             if (verdict == OverdueAction::Restart) {
                 ++job.overdueStops;
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -8,8 +8,9 @@
 namespace rattandock::fleet {
 
 void FleetDispatcher::handleEvent(const UpstreamListRead &event, TimePoint now,
-                                  FleetActions & /*actions*/)
+                                  FleetActions &actions)
 {
+    recordColdUpstreams(event.cold, now, actions);
     m_hasUpstreams = m_hasUpstreams || event.isWhole;
     if (event.asOf || event.isWhole) {
         m_listAsOf = std::max(m_listAsOf, event.asOf.value_or(now));
@@ -187,7 +188,8 @@
                 row.upstream,
                 KeptUpstream{UpstreamLedger{listed->second.entry, row.epoch, m_options.lease},
                              false,
-                             {}});
+                             {},
+                             now});
         actions.emplace_back(
                 FleetLogRecord{FleetLogRecordKind::UpstreamClaimed,
                                "claimed",
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -383,6 +383,10 @@
                         post(to, m_vms[to].process, EvacuationStateReceived{sender, it},
                              networkDelay);
                     },
+                    [&](const ColdUpstreams &it) {
+                        post(to, m_vms[to].process, ColdUpstreamsReceived{sender, it},
+                             networkDelay);
+                    },
                     [&](const UpstreamSuspicion &it) {
                         post(to, m_vms[to].process, SuspicionReceived{sender, it}, networkDelay);
                     }},
--- a/src/rattandock/fleet/warm_up.cpp
+++ b/src/rattandock/fleet/warm_up.cpp
@@ -22,6 +22,8 @@
 constexpr double maxLogSample = 2.7726;
 /// A run that took longer than this multiple of its expected time does not raise the limit.
 constexpr double inTimeFactor = 1.5;
+/// Tasks need half of an upstream plus or minus 20%, and at most this many quarters.
+constexpr std::uint32_t largestTaskQuarters = 3;
 
 double logRatioOf(Duration warmExpected, Duration elapsed)
 {
@@ -134,6 +136,14 @@
     return usable;
 }
 
+std::uint32_t WarmUp::reportedCpu(const UpstreamId &upstream, const Resources &capacity,
+                                  const Resources &free, bool hasRuns) const
+{
+    const std::uint32_t cpu = usableRoom(upstream, capacity, free, hasRuns).cpu.value();
+    const bool isOneTask = !hasRuns && isLimited(upstream);
+    return isOneTask ? std::min(cpu, capacity.cpu.value() / 4 * largestTaskQuarters) : cpu;
+}
+
 std::size_t WarmUp::usableStarts(const UpstreamId &upstream, const Resources &capacity,
                                  const Resources &free, bool hasRuns, MilliCores cpu) const
 {
--- a/src/rattandock/fleet/warm_up_test.cpp
+++ b/src/rattandock/fleet/warm_up_test.cpp
@@ -42,18 +42,21 @@
 // Guards against an upstream that counts as cold for ever or never, whatever its entry states.
 BOOST_AUTO_TEST_CASE(endsColdnessAtTheStatedTime)
 {
-    BOOST_TEST(!warmUp.isCold(upstream, now));
+    BOOST_TEST(!warmUp.isCold(upstream));
     BOOST_TEST(!warmUp.setColdUntil(upstream, now, now));
     BOOST_TEST(!warmUp.setColdUntil(upstream, now - 5s, now));
     BOOST_TEST(!warmUp.hasColdUpstreams());
     BOOST_TEST(warmUp.setColdUntil(upstream, now + 3s, now));
-    BOOST_TEST(warmUp.isCold(upstream, now + 2999ms));
-    BOOST_TEST(!warmUp.isCold(upstream, now + 3s));
-    BOOST_TEST(!warmUp.isCold(other, now));
+    warmUp.expire(now + 2999ms);
+    BOOST_TEST(warmUp.isCold(upstream));
+    BOOST_TEST(!warmUp.isCold(other));
+    warmUp.expire(now + 3s);
+    BOOST_TEST(!warmUp.isCold(upstream));
     BOOST_TEST(warmUp.setColdUntil(upstream, now + 24h, now));
-    BOOST_TEST(warmUp.isCold(upstream, now + 59s));
-    BOOST_TEST(!warmUp.isCold(upstream, now + 60s));
+    warmUp.expire(now + 59s);
+    BOOST_TEST(warmUp.isCold(upstream));
     warmUp.expire(now + 60s);
+    BOOST_TEST(!warmUp.isCold(upstream));
     BOOST_TEST(!warmUp.hasColdUpstreams());
 }
 
@@ -83,10 +86,10 @@
         warmUp.addColdRun(100ms, n % 2 == 0 ? 300ms : 533ms);
     }
     BOOST_TEST(warmUp.ratio() == 4, boost::test_tools::tolerance(0.05));
-    BOOST_TEST(warmUp.runTimeFactor(upstream, now) == 1);
+    BOOST_TEST(warmUp.runTimeFactor(upstream) == 1);
     warmUp.setColdUntil(upstream, now + 1s, now);
-    BOOST_TEST(warmUp.runTimeFactor(upstream, now) == warmUp.ratio());
-    BOOST_TEST(warmUp.runTimeFactor(other, now) == 1);
+    BOOST_TEST(warmUp.runTimeFactor(upstream) == warmUp.ratio());
+    BOOST_TEST(warmUp.runTimeFactor(other) == 1);
     for (int n = 0; n < 1000; ++n) {
         warmUp.addColdRun(100ms, 1h);
         warmUp.addColdRun(0ms, 1h);
@@ -152,6 +155,9 @@
     BOOST_TEST(starts(16, 16) == 0);
     BOOST_TEST(starts(0, 2) == 4);
     BOOST_TEST(starts(2, 2) == 3);
+    BOOST_TEST(warmUp.reportedCpu(upstream, cores(32), cores(32), false) == 24'000);
+    BOOST_TEST(warmUp.reportedCpu(upstream, cores(32), cores(30), true) == 6'000);
+    BOOST_TEST(warmUp.reportedCpu(other, cores(32), cores(32), false) == 32'000);
 }
 
 // Guards against a limit that outlives its cause: no run ever ends in time, has no estimate, or
