Ramp up the load on a zone that returns in steps

Cause: when the evacuation of a zone ends, all of its upstreams are free and attract the waiting tasks at once. If they are slow for a while, whole jobs miss their deadlines. Change: upstreams that stood idle for 2 s or longer during the evacuation get a quarter of their CPU (at least one task), then half, then all, each step after a run that ended within 1.5 times its expected time. They share the ratio of run times with cold upstreams. The limit ends with a new process, a new keeper, or after 60 s. Log records, counters and the gauge limited_upstreams show it. The random message of type 16 in the codec's test has the type of its index again.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -123,7 +123,7 @@
         Duration expected{};
         TimePoint startedAt;
         bool isOverdue = false;
-        /// True if the upstream was cold when the latest run was started.
+        /// True if the upstream was cold or limited when the latest run was started.
         bool isColdRun = false;
         /// Earliest time of the next start. A former run may still execute until then, or the
         /// last start was refused.
@@ -351,8 +351,8 @@
     PlacementLimits placementLimits(const FleetJob &job, Duration untilObjective,
                                     Duration untilDeadline, bool mayWaitForFaster) const;
     PlacementLimits placementLimitsOf(const Job &job, TimePoint now) const;
-    /// Adds the run time of a successful run to the statistics: of warm upstreams, or of cold ones
-    /// if it was started on one.
+    /// Adds the run time of a successful run to the statistics: of warm upstreams, or of those that
+    /// may be slow (`isColdRun`).
     void addRunTime(const UpstreamEntry &upstream, const FleetJob &job, Duration elapsed,
                     bool isColdRun);
     /// Returns the largest run time, in percent of the predicted one, with which an upstream is
--- a/include/rattandock/fleet/warm_up.hpp
+++ b/include/rattandock/fleet/warm_up.hpp
@@ -17,9 +17,9 @@
 /// once and attract all waiting tasks, but runs take four times as long there for three seconds, so
 /// that whole jobs miss their deadlines. The same happens on a smaller scale when upstreams start.
 ///
-/// Cold upstreams state how long they stay so. The ratio of run times on them to those on warm ones
-/// is measured over all of them. An upstream that stood idle in an evacuated zone gets a quarter of
-/// its CPU, then half, then all, each step after a run that ended about in time.
+/// Cold upstreams state how long they stay so. An upstream that stood idle in an evacuated zone
+/// gets a quarter of its CPU, then half, then all, each step after a run that ended about in time.
+/// The ratio of run times on all of these to those on warm ones is measured over all of them.
 /// Thread safety: none.
 class WarmUp
 {
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -213,16 +213,16 @@
     case 15:
         return fleet::TasksReturned{number(), listOf(shortNumber), shortNumber()};
     case 16:
-        return fleet::ColdUpstreams{listOf([] {
-            return fleet::ColdUpstream{UpstreamId{text()}, duration()};
-        })};
-    default:
         return fleet::UpstreamSuspicion{
                 UpstreamId{text()},
                 fleet::UpstreamProcessStart{number()},
                 {static_cast<fleet::TrustLevel>(below(fleet::trustLevelCount)), shortNumber(),
                  duration()},
                 duration()};
+    default:
+        return fleet::ColdUpstreams{listOf([] {
+            return fleet::ColdUpstream{UpstreamId{text()}, duration()};
+        })};
     }
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -99,6 +99,7 @@
     if (m_evacuations.asOf() != TimePoint::min()) {
         status.evacuationsAsOf = m_evacuations.asOf();
     }
+    status.limitedUpstreams = m_warmUp.limitedCount();
     return status;
 }
 
@@ -117,7 +118,9 @@
         report.usableCpu += entry.capacity.cpu.value();
         report.fastestPercent =
                 report.fastestPercent == 0 ? percent : std::min(report.fastestPercent, percent);
-        if (const std::uint32_t free = kept.ledger.freeRoom().cpu.value(); free > 0) {
+        const std::uint32_t free = m_warmUp.reportedCpu(id, entry.capacity, kept.ledger.freeRoom(),
+                                                        kept.ledger.runCount() > 0);
+        if (free > 0) {
             report.free.push_back({free, percent});
         }
     }
--- a/src/rattandock/fleet/fleet_dispatcher_evacuations.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_evacuations.cpp
@@ -64,13 +64,15 @@
                 FleetLogRecord{FleetLogRecordKind::EvacuationRequested, source, {}, it.value()});
     }
     for (const ZoneId &it : change.ended) {
-        const Duration length = now - m_evacuatedSince[it];
+        const TimePoint since = m_evacuatedSince[it];
+        const Duration length = now - since;
         m_evacuatedSince.erase(it);
         actions.emplace_back(FleetLogRecord{
                 FleetLogRecordKind::EvacuationWithdrawn,
                 source,
                 {},
                 it.value() + ", after " + std::to_string(toMilliseconds(length)) + " ms"});
+        limitReturningUpstreams(it, since, now, actions);
     }
     m_evacuationsSentTo.clear();
     for (const VmId &it : m_linkedVms) {
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -76,7 +76,8 @@
         const bool isUseful = 100 * runFactor(entry) <= maxPercent;
         if (entry.service == job.service && isUseful && mayPlaceOn(kept, now)) {
             const std::size_t fitting =
-                    kept.ledger.freeRoom().cpu.value() / std::max(job.need.cpu.value(), 1U);
+                    m_warmUp.usableStarts(id, entry.capacity, kept.ledger.freeRoom(),
+                                          kept.ledger.runCount() > 0, job.need.cpu);
             places += std::min(fitting, m_upstreamWatch.startsLeft(id, now));
         }
     }
@@ -89,7 +90,7 @@
     for (const auto &[id, kept] : m_keptUpstreams) {
         if (mayPlaceOn(kept, now)) {
             std::uint32_t &cpu = largest[kept.ledger.entry().service];
-            cpu = std::max(cpu, kept.ledger.freeRoom().cpu.value());
+            cpu = std::max(cpu, usableRoom(kept).cpu.value());
         }
     }
     return largest;
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -45,11 +45,13 @@
 
 double FleetDispatcher::ownFastestFactor() const
 {
-    const bool hasColdUpstream = m_warmUp.hasColdUpstreams()
-                                 && std::ranges::any_of(m_keptUpstreams, [this](const auto &it) {
-                                        return m_warmUp.isCold(it.first);
-                                    });
-    if (m_evacuations.zones().empty() && !hasColdUpstream) {
+    const bool hasSlowUpstream =
+            m_warmUp.limitedCount() > 0
+            || (m_warmUp.hasColdUpstreams()
+                && std::ranges::any_of(m_keptUpstreams, [this](const auto &it) {
+                       return m_warmUp.isCold(it.first);
+                   }));
+    if (m_evacuations.zones().empty() && !hasSlowUpstream) {
         return m_runTimes.fastestFactor();
     }
     // No task may wait for an upstream of an evacuated zone, or for a fast one that is slow now.
@@ -96,7 +98,7 @@
         if (entry.service != job.spec.service || !mayPlaceOn(it, now)) {
             continue;
         }
-        const Resources room = it.ledger.freeRoom();
+        const Resources room = usableRoom(it);
         if (!room.covers(job.spec.need) || !hasLabel(entry, job.spec)) {
             continue;
         }
@@ -104,10 +106,7 @@
             && it.ledger.runCountOfJob(number) >= job.spec.maxPerUpstream) {
             continue;
         }
-        Duration expected = warmRunTime(entry, job.spec);
-        if (m_warmUp.isCold(id)) {
-            expected = scaled(expected, m_warmUp.ratio());
-        }
+        Duration expected = scaled(predictedRun(job.spec), runFactor(entry));
         if (!isOnRack(entry, job.spec.preferredRack)) {
             expected = scaled(expected, remoteDataFactor);
         }
@@ -126,7 +125,7 @@
     task.expected = candidates[*choice].expected;
     task.startedAt = now;
     task.isOverdue = false;
-    task.isColdRun = m_warmUp.isCold(upstream);
+    task.isColdRun = m_warmUp.isCold(upstream) || m_warmUp.isLimited(upstream);
     --job.waiting;
     job.hasStarted = true;
     const RunName name{job.spec.id.value(), 0, 0, job.indices[index]};
@@ -202,8 +201,11 @@
 {
     m_isDispatchDue = true;
     const auto kept = m_keptUpstreams.find(upstream);
-    if (kept != m_keptUpstreams.end() && over.kind == RunEndKind::Done) {
-        kept->second.lastSuccess = now;
+    if (kept != m_keptUpstreams.end()) {
+        kept->second.idleSince = now;
+        if (over.kind == RunEndKind::Done) {
+            kept->second.lastSuccess = now;
+        }
     }
     const JobNumber number = over.task.job;
     const auto found = m_jobs.find(number);
@@ -227,6 +229,7 @@
     }
     m_upstreamWatch.ended(upstream, over.task);
     if (over.kind == RunEndKind::Done) {
+        raiseLimit(upstream, task, over.elapsed, now, actions);
         const auto listed = m_listedUpstreams.find(upstream);
         if (listed != m_listedUpstreams.end() && job.spec.estimate > Duration{}
             && isOnRack(listed->second.entry, job.spec.preferredRack)) {
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -220,6 +220,7 @@
     applyLedgerOutputs(id, outputs, now, actions);
     m_abandonedRunsEndAt.reset();
     m_upstreamWatch.erase(id);
+    m_warmUp.unlimit(id);
 }
 
 void FleetDispatcher::stepLedgers(TimePoint now, FleetActions &actions)
@@ -265,7 +266,14 @@
 {
     if (const auto kept = m_keptUpstreams.find(event.upstream); kept != m_keptUpstreams.end()) {
         LedgerOutputs outputs;
-        kept->second.ledger.pollAnswered(event.number, event.report, now, outputs);
+        UpstreamLedger &ledger = kept->second.ledger;
+        const UpstreamProcessStart former = ledger.processStart();
+        ledger.pollAnswered(event.number, event.report, now, outputs);
+        if (former != UpstreamProcessStart{} && former != ledger.processStart()) {
+            // The entry of the new process states whether it is cold.
+            m_warmUp.unlimit(event.upstream);
+            kept->second.idleSince = now;
+        }
         applyLedgerOutputs(event.upstream, outputs, now, actions);
         adoptSuspicion(event.upstream, now, actions);
     }
--- a/src/rattandock/fleet/fleet_dispatcher_warm_up.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_warm_up.cpp
@@ -66,9 +66,56 @@
     }
 }
 
+void FleetDispatcher::limitReturningUpstreams(const ZoneId &zone, TimePoint since, TimePoint now,
+                                              FleetActions &actions)
+{
+    std::size_t count = 0;
+    for (const auto &[id, kept] : m_keptUpstreams) {
+        // Idle time before the evacuation does not count: without one nothing is limited.
+        const TimePoint idleSince = std::max(kept.idleSince, since);
+        if (kept.ledger.entry().zone == zone && kept.ledger.isIdle()
+            && now - idleSince >= WarmUp::minIdleTime) {
+            m_warmUp.limit(id, now);
+            ++count;
+        }
+    }
+    if (count > 0) {
+        actions.emplace_back(FleetLogRecord{FleetLogRecordKind::UpstreamsLimited,
+                                            "zone-returned",
+                                            {},
+                                            zone.value() + ", upstreams " + std::to_string(count)});
+    }
+}
+
+void FleetDispatcher::raiseLimit(const UpstreamId &upstream, const Task &task, Duration elapsed,
+                                 TimePoint now, FleetActions &actions)
+{
+    // Slowness that is expected must not count as being in time.
+    const double ratio = task.isColdRun ? m_warmUp.ratio() : 1;
+    const Duration warm{
+            static_cast<Duration::rep>(static_cast<double>(task.expected.count()) / ratio)};
+    const WarmUp::Step step = m_warmUp.runEnded(upstream, task.startedAt, warm, elapsed, now);
+    if (step != WarmUp::Step::None) {
+        actions.emplace_back(FleetLogRecord{FleetLogRecordKind::UpstreamLimitRaised,
+                                            step == WarmUp::Step::Half ? "half" : "full",
+                                            {},
+                                            upstream.value()});
+    }
+}
+
+Resources FleetDispatcher::usableRoom(const KeptUpstream &kept) const
+{
+    const UpstreamLedger &ledger = kept.ledger;
+    return m_warmUp.usableRoom(ledger.entry().id, ledger.entry().capacity, ledger.freeRoom(),
+                               ledger.runCount() > 0);
+}
+
 double FleetDispatcher::runFactor(const UpstreamEntry &entry) const
 {
-    return m_runTimes.factor(entry.id, upstreamKind(entry)) * m_warmUp.runTimeFactor(entry.id);
+    // Without a shared ratio, each upstream of a zone that returns had to be found slow by its own
+    // runs, and at high load more jobs missed their deadlines than without a limit.
+    const bool maybeSlow = m_warmUp.isCold(entry.id) || m_warmUp.isLimited(entry.id);
+    return m_runTimes.factor(entry.id, upstreamKind(entry)) * (maybeSlow ? m_warmUp.ratio() : 1);
 }
 
 Duration FleetDispatcher::warmRunTime(const UpstreamEntry &entry, const FleetJob &job) const
--- a/src/rattandock/fleet/fleet_dispatcher_warm_up_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_warm_up_test.cpp
@@ -125,4 +125,103 @@
     BOOST_TEST(receive(4s) == 0);
 }
 
+// Guards against full load at once on the upstreams of a zone that returns, and against a limit
+// that a slow run raises.
+BOOST_AUTO_TEST_CASE(limitsUpstreamsOfAZoneThatReturns)
+{
+    runTasks(5, 100ms);
+    read(2, {zone});
+    pass(3s);
+    take<FleetLogRecord>();
+    read(3, {});
+    BOOST_TEST(countLogged(FleetLogRecordKind::UpstreamsLimited) == 1);
+    BOOST_TEST(dispatcher.status().limitedUpstreams == 1);
+    BOOST_TEST(reportedCpu() == 48'000);
+    // Four of 64 cores each: a quarter is 16.
+    submitSmall(6);
+    BOOST_TEST(take<StartOrder>().size() == 4);
+    BOOST_TEST(reportedCpu() == 0);
+    pass(1500ms);
+    BOOST_TEST(take<StartOrder>().empty());
+}
+
+// Guards against the same: runs in time raise the limit step by step, and slow ones do not.
+BOOST_AUTO_TEST_CASE(raisesTheLimitAfterRunsInTime)
+{
+    runTasks(10, 100ms);
+    read(2, {zone});
+    pass(3s);
+    read(3, {});
+    take<FleetLogRecord>();
+    runTasks(1, 200ms);
+    BOOST_TEST(countLogged(FleetLogRecordKind::UpstreamLimitRaised) == 0);
+    // The slowness is expected by now, which does not make a slow run one in time.
+    runTasks(5, 200ms);
+    BOOST_TEST(countLogged(FleetLogRecordKind::UpstreamLimitRaised) == 0);
+    runTasks(1, 100ms);
+    BOOST_TEST(countLogged(FleetLogRecordKind::UpstreamLimitRaised) == 1);
+    BOOST_TEST(dispatcher.status().limitedUpstreams == 1);
+    runTasks(1, 100ms);
+    BOOST_TEST(countLogged(FleetLogRecordKind::UpstreamLimitRaised) == 1);
+    BOOST_TEST(dispatcher.status().limitedUpstreams == 0);
+    submitSmall(12);
+    BOOST_TEST(take<StartOrder>().size() == 12);
+}
+
+// Guards against a change for upstreams without an evacuation, that were not idle, whose process
+// was replaced, or that this VM took over from another one.
+BOOST_AUTO_TEST_CASE(limitsOnlyWhatStoodIdleInAnEvacuatedZone)
+{
+    const auto countStarts = [&] {
+        submitSmall(10);
+        const std::size_t n = take<StartOrder>().size();
+        return n;
+    };
+    const auto finish = [&] {
+        for (auto &[id, runs] : active) {
+            runs.clear();
+        }
+        pass(2s);
+        take<StartOrder>();
+    };
+    // Idle for long, but evacuated for less than two seconds.
+    pass(10s);
+    read(2, {zone});
+    pass(1900ms);
+    read(3, {});
+    BOOST_TEST(countStarts() == 10);
+    finish();
+    // Another zone.
+    read(4, {otherZone});
+    pass(3s);
+    read(5, {});
+    BOOST_TEST(countStarts() == 10);
+    finish();
+    // Its process is replaced.
+    read(6, {zone});
+    pass(3s);
+    read(7, {});
+    BOOST_TEST(dispatcher.status().limitedUpstreams == 1);
+    for (int n = 0; n < 200 && polls.empty(); ++n) {
+        now += 5ms;
+        send(TimerDue{});
+    }
+    BOOST_REQUIRE(!polls.empty());
+    RunReport report;
+    report.clock = UpstreamTime{now.time_since_epoch()};
+    report.processStart = UpstreamProcessStart{2};
+    const PollNumber number = polls.at(upstream);
+    polls.clear();
+    send(RunReportReceived{upstream, number, report});
+    BOOST_TEST(dispatcher.status().limitedUpstreams == 0);
+    // It gets another keeper.
+    read(8, {zone});
+    pass(3s);
+    read(9, {});
+    BOOST_TEST(dispatcher.status().limitedUpstreams == 1);
+    send(KeepersRead{{KeeperRow{upstream, zone, VmId{"x"}, Incarnation{9}, 2, 9}}, false, zone});
+    BOOST_TEST(dispatcher.status().keptUpstreams == 0);
+    BOOST_TEST(dispatcher.status().limitedUpstreams == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
