Capture no structured binding in the replay of a zone's return

Cause: clang refuses a structured binding in a lambda's capture, which GCC accepts; the lint check failed on it. Change: the loop uses a reference.

--- a/src/rattandock/fleet/zone_return_replay_test.cpp
+++ b/src/rattandock/fleet/zone_return_replay_test.cpp
@@ -261,7 +261,8 @@
 
     void answerPolls()
     {
-        for (auto &[id, it] : m_upstreams) {
+        for (auto &entry : m_upstreams) {
+            Upstream &it = entry.second;
             std::erase_if(it.runs, [&](const Run &run) {
                 if (run.endsAt > m_now) {
                     return false;
@@ -282,7 +283,7 @@
             }
             report.ended = std::exchange(it.ended, {});
             const PollNumber number = *std::exchange(it.poll, std::nullopt);
-            send(RunReportReceived{id, number, report});
+            send(RunReportReceived{entry.first, number, report});
         }
     }
 
