--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -93,7 +93,8 @@
 template <Is<fleet::UpstreamEntry> T>
 auto fields(T &it)
 {
-    auto &[id, service, zone, address, draining, capacity, labels] = it;
+    // `coldLeft` is not sent: former builds refuse unknown fields, and it is outdated on arrival.
+    auto &[id, service, zone, address, draining, capacity, labels, coldLeft] = it;
     return std::tie(id, service, zone, address, draining, capacity, labels);
 }
 
@@ -125,6 +126,20 @@
     return std::tie(upstream, processStart, state, age);
 }
 
+template <Is<fleet::ColdUpstream> T>
+auto fields(T &it)
+{
+    auto &[upstream, left] = it;
+    return std::tie(upstream, left);
+}
+
+template <Is<fleet::ColdUpstreams> T>
+auto fields(T &it)
+{
+    auto &[upstreams] = it;
+    return std::tie(upstreams);
+}
+
 template <Is<core::Resources> T>
 auto fields(T &it)
 {
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -212,13 +212,17 @@
                                       duration()};
     case 15:
         return fleet::TasksReturned{number(), listOf(shortNumber), shortNumber()};
-    default:
+    case 16:
         return fleet::UpstreamSuspicion{
                 UpstreamId{text()},
                 fleet::UpstreamProcessStart{number()},
                 {static_cast<fleet::TrustLevel>(below(fleet::trustLevelCount)), shortNumber(),
                  duration()},
                 duration()};
+    default:
+        return fleet::ColdUpstreams{listOf([] {
+            return fleet::ColdUpstream{UpstreamId{text()}, duration()};
+        })};
     }
 }
 
@@ -333,6 +337,15 @@
            && age == b.age;
 }
 
+bool same(const fleet::ColdUpstreams &a, const fleet::ColdUpstreams &b)
+{
+    const auto &[upstreams] = a;
+    return std::ranges::equal(upstreams, b.upstreams, [](const auto &x, const auto &y) {
+        const auto &[upstream, left] = x;
+        return upstream == y.upstream && left == y.left;
+    });
+}
+
 bool same(const core::PeerMessage &a, const core::PeerMessage &b)
 {
     return a.index() == b.index()
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -54,6 +54,7 @@
         m_endingRuns.expire(now);
         refuseUnservedJobs(now, actions);
         updateSuspicions(now, actions);
+        m_warmUp.expire(now);
     }
     stepLedgers(now, actions);
     dispatch(now, actions);
@@ -98,6 +99,7 @@
     if (m_evacuations.asOf() != TimePoint::min()) {
         status.evacuationsAsOf = m_evacuations.asOf();
     }
+    status.limitedUpstreams = m_warmUp.limitedCount();
     return status;
 }
 
@@ -112,12 +114,13 @@
             continue;
         }
         const UpstreamEntry &entry = kept.ledger.entry();
-        const auto percent =
-                static_cast<std::uint32_t>(100 * m_runTimes.factor(id, upstreamKind(entry)));
+        const auto percent = static_cast<std::uint32_t>(100 * runFactor(entry));
         report.usableCpu += entry.capacity.cpu.value();
         report.fastestPercent =
                 report.fastestPercent == 0 ? percent : std::min(report.fastestPercent, percent);
-        if (const std::uint32_t free = kept.ledger.freeRoom().cpu.value(); free > 0) {
+        const std::uint32_t free = m_warmUp.reportedCpu(id, entry.capacity, kept.ledger.freeRoom(),
+                                                        kept.ledger.runCount() > 0);
+        if (free > 0) {
             report.free.push_back({free, percent});
         }
     }
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -8,8 +8,9 @@
 namespace rattandock::fleet {
 
 void FleetDispatcher::handleEvent(const UpstreamListRead &event, TimePoint now,
-                                  FleetActions & /*actions*/)
+                                  FleetActions &actions)
 {
+    recordColdUpstreams(event.cold, now, actions);
     m_hasUpstreams = m_hasUpstreams || event.isWhole;
     if (event.asOf || event.isWhole) {
         m_listAsOf = std::max(m_listAsOf, event.asOf.value_or(now));
@@ -187,7 +188,8 @@
                 row.upstream,
                 KeptUpstream{UpstreamLedger{listed->second.entry, row.epoch, m_options.lease},
                              false,
-                             {}});
+                             {},
+                             now});
         actions.emplace_back(
                 FleetLogRecord{FleetLogRecordKind::UpstreamClaimed,
                                "claimed",
@@ -218,6 +220,7 @@
     applyLedgerOutputs(id, outputs, now, actions);
     m_abandonedRunsEndAt.reset();
     m_upstreamWatch.erase(id);
+    m_warmUp.unlimit(id);
 }
 
 void FleetDispatcher::stepLedgers(TimePoint now, FleetActions &actions)
@@ -263,7 +266,14 @@
 {
     if (const auto kept = m_keptUpstreams.find(event.upstream); kept != m_keptUpstreams.end()) {
         LedgerOutputs outputs;
-        kept->second.ledger.pollAnswered(event.number, event.report, now, outputs);
+        UpstreamLedger &ledger = kept->second.ledger;
+        const UpstreamProcessStart former = ledger.processStart();
+        ledger.pollAnswered(event.number, event.report, now, outputs);
+        if (former != UpstreamProcessStart{} && former != ledger.processStart()) {
+            // The entry of the new process states whether it is cold.
+            m_warmUp.unlimit(event.upstream);
+            kept->second.idleSince = now;
+        }
         applyLedgerOutputs(event.upstream, outputs, now, actions);
         adoptSuspicion(event.upstream, now, actions);
     }
