Close caller connections before the core refuses jobs in a planned stop

Cause: drain() posted the request to the core before it set the flag that makes answers close their connection. A thread that was preempted between the two let refusals through on connections that stayed open, and the next submission on such a connection could meet the end of the process. Change: the flag is set first, as FleetDaemon does.

--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -278,8 +278,10 @@
     if (!drainBegan.compare_exchange_strong(expected, clock.now())) {
         return;
     }
-    loop.post(core::DrainRequested{});
+    // First, so that each refusal closes its connection. On a connection that stays open, the next
+    // submission may get no answer when the process ends.
     callerServer->closeAfterAnswers();
+    loop.post(core::DrainRequested{});
     log(LogLevel::Info, LogPart::Daemon, "draining");
 }
 
