--- a/scripts/fault-soak.py
+++ b/scripts/fault-soak.py
@@ -6,7 +6,7 @@
 delay, reset, silence or cut one way, and daemons that are killed, paused, stopped and restarted, in
 series that overlap. A seed fails if a task runs twice at once, a start exceeds a runner's room or
 follows a refusal, a call has no answer, a daemon ends by itself, or is not ready 12 s after
-the last fault. Needs a release build. Uses 160 loopback ports, from 7800 on if not told otherwise.
+the last fault. Needs a release build. Uses 160 loopback ports, from $FIRST_PORT or 7800 on if not told otherwise.
 """
 import argparse
 import asyncio
@@ -219,7 +219,8 @@
     arguments = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     arguments.add_argument("seeds", type=int, nargs="*", default=[1])
     arguments.add_argument("--seconds", type=int, default=12, help="length of each seed's faults")
-    arguments.add_argument("--first-port", type=int, default=7800, help="first of 160 ports")
+    arguments.add_argument("--first-port", type=int, default=os.environ.get("FIRST_PORT", 7800),
+                           help="first of 160 ports; default: $FIRST_PORT, or 7800")
     options = arguments.parse_args()
     failed = 0
     for seed in options.seeds:
