--- a/include/rattandock/adapters/http_server.hpp
+++ b/include/rattandock/adapters/http_server.hpp
@@ -26,7 +26,7 @@
 /// Serves one request; runs on a fiber of the connection and may suspend it.
 using HttpHandler = std::function<HttpResponse(const HttpRequest &request)>;
 
-/// Told of each request that was refused before its handler: `malformed`, `truncated`,
+/// Called for each request that was refused before its handler: `malformed`, `truncated`,
 /// `header-too-large`, `body-too-large`, `slow-sender`, `too-many-connections`. Called from any
 /// I/O thread.
 using BadRequestObserver = std::function<void(std::string_view reason)>;
--- a/include/rattandock/adapters/platform_client.hpp
+++ b/include/rattandock/adapters/platform_client.hpp
@@ -65,7 +65,7 @@
 };
 
 enum class PlatformRefusal : std::uint8_t {
-    /// No reply within the deadline. A write was provably not received whole.
+    /// No reply within the deadline. A write cannot have been received completely.
     Unavailable,
     /// Failed too often of late; nothing was sent.
     CircuitOpen,
--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -77,7 +77,7 @@
 /// path, or the line of a syntax error.
 Checked<Settings> parseSettings(std::string_view text, const std::string &file);
 
-/// Every key that parseSettings() knows, those of array items as `upstreams[].id`.
+/// Every key that parseSettings() accepts, those of array items as `upstreams[].id`.
 std::vector<std::string> settingsKeys();
 
 /// Reads the file and parses it.
--- a/include/rattandock/app/config_report.hpp
+++ b/include/rattandock/app/config_report.hpp
@@ -20,7 +20,7 @@
     std::optional<ConfigDifferences> differences;
 };
 
-/// What is told about one checked configuration.
+/// Result of the check of one configuration, for output.
 struct ConfigReport
 {
     /// Name of the file for people.
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -141,7 +141,7 @@
     /// This VM learned that the operator evacuates a zone, or no longer does.
     EvacuationRequested,
     EvacuationWithdrawn,
-    /// A new keeper starts from what the previous one knew of the upstream.
+    /// A new keeper starts from the previous one's record of the upstream.
     SuspicionAdopted,
     /// Most upstreams of a zone are quarantined, or no longer.
     QuarantineWidespread,
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -297,7 +297,7 @@
                          std::string_view reason, TimePoint now, FleetActions &actions);
     /// Sends what is known of a kept upstream to the linked VMs of its zone.
     void sendSuspicion(const UpstreamId &upstream, TimePoint now, FleetActions &actions);
-    /// Starts from what the previous keeper knew, once the upstream has reported its process.
+    /// Starts from the previous keeper's record, once the upstream has reported its process.
     void adoptSuspicion(const UpstreamId &upstream, TimePoint now, FleetActions &actions);
     /// Drops expired suspicions and updates which zones have mostly quarantined upstreams.
     void updateSuspicions(TimePoint now, FleetActions &actions);
@@ -386,7 +386,7 @@
     void withdrawUnansweredOffers(TimePoint now, FleetActions &actions);
     /// Refuses a job whose withdrawn offers have all come back unstarted.
     void endWithdrawnJob(JobNumber number, TimePoint now, FleetActions &actions);
-    /// Returns true if the VM knows the messages of this build.
+    /// Returns true if the VM supports the messages of this build.
     bool knowsReturns(const VmId &vm) const;
     /// Ends the jobs of which tasks were offered to a VM, or by it, after its link was lost.
     void endOffersOf(const VmId &vm, TimePoint now, FleetActions &actions);
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -167,7 +167,7 @@
     CapacityReport room;
     /// Incarnation of the sending process. Some tests leave it out.
     std::optional<Incarnation> incarnation = std::nullopt;
-    /// Revision of the messages that the VM knows, see fleetRevision.
+    /// Revision of the messages that the VM supports, see fleetRevision.
     std::uint64_t revision = 0;
 };
 
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -37,7 +37,8 @@
 };
 
 /// Revision of the messages between the VMs of a fleet. Heartbeats carry it. A VM sends a message
-/// only to VMs of a revision that knows it, because a receiver closes the link on an unknown one.
+/// only to VMs of a revision that supports it, because a receiver closes the link on an unknown
+/// one.
 ///   0: builds that send no revision.
 ///   1: TasksReturned, QueuedTaskOffer, and an answer to each TaskOfferWithdrawn.
 ///   2: ColdUpstreams.
@@ -122,7 +123,7 @@
     std::vector<UpstreamId> removed;
 };
 
-/// The zones that the operator evacuates, as the sender knows them. It is sent to each linked VM
+/// The zones that the operator evacuates, by the sender's last read. It is sent to each linked VM
 /// when the set changes and after the link has come up, so that a VM that cannot read the store
 /// learns the set. Size: 24 B and the names of the zones.
 struct EvacuationState
--- a/include/rattandock/fleet/upstream_quarantine.hpp
+++ b/include/rattandock/fleet/upstream_quarantine.hpp
@@ -31,8 +31,8 @@
 public:
     enum class Change : std::uint8_t { None, Quarantined, Restored };
 
-    /// Time without a counted failure after which earlier pauses are forgotten, and what another
-    /// keeper knew is no longer taken over. It is longer than the longest pause, and faults come in
+    /// Time without a counted failure after which earlier pauses and another keeper's record no
+    /// longer count. It is longer than the longest pause, and faults come in
     /// bursts of a few seconds.
     static constexpr Duration healthyTime = std::chrono::seconds{10};
 
@@ -62,7 +62,7 @@
     UpstreamTrust trust(const UpstreamId &upstream) const;
     /// Returns when the last failure was counted, or `std::nullopt` if none is remembered.
     std::optional<TimePoint> lastFailure(const UpstreamId &upstream) const;
-    /// Takes over what another keeper knew of the upstream. Returns false if there is a record
+    /// Takes over another keeper's record of the upstream. Returns false if there is a record
     /// already, which stays.
     bool adopt(const UpstreamId &upstream, const UpstreamTrust &trust, TimePoint lastFailure);
     void erase(const UpstreamId &upstream) { m_records.erase(upstream); }
--- a/src/rattandock/adapters/detail/peer_link.cpp
+++ b/src/rattandock/adapters/detail/peer_link.cpp
@@ -64,7 +64,7 @@
     if (m_queuedBytes + bytes.value().size() > m_options.sendQueue.value()) {
         m_metrics.count("peer_messages_dropped", "queue-full");
         m_connection->close(PeerConnection::End::QueueFull);
-        // Told at once, so that no later message is queued on the closed connection.
+        // Reported at once, so that no later message is queued on the closed connection.
         closeQueue();
         return;
     }
--- a/src/rattandock/adapters/platform_client.cpp
+++ b/src/rattandock/adapters/platform_client.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-/// 507 tells that there is no room, so it is final; other 5xx may end.
+/// 507 states that there is no room, so it is final; other 5xx may end.
 bool mayPass(unsigned status)
 {
     return status >= 500 && status != 507;
--- a/src/rattandock/adapters/platform_client_test.cpp
+++ b/src/rattandock/adapters/platform_client_test.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// A platform in this process; answers as its fields tell. Each field is set before the calls.
+/// A platform in this process; answers as its fields state. Each field is set before the calls.
 class FakePlatform
 {
 public:
--- a/src/rattandock/adapters/rcu_thread.cpp
+++ b/src/rattandock/adapters/rcu_thread.cpp
@@ -21,7 +21,7 @@
 
 #if defined(__SANITIZE_THREAD__)
 // liburcu is not built with the sanitizer, so the order of the end of a read section before the
-// end of a wait is told to it here.
+// end of a wait is reported to it here.
 char endOfSections;
 
 void sectionEnds()
--- a/src/rattandock/adapters/upstream_client_test.cpp
+++ b/src/rattandock/adapters/upstream_client_test.cpp
@@ -40,7 +40,7 @@
     std::vector<core::AttemptEnded> m_ended;
 };
 
-/// One upstream that answers when told to, and a client for it.
+/// One upstream that answers on request of the test, and a client for it.
 struct Fixture
 {
     Fixture()
--- a/src/rattandock/app/fleet_sync_members.cpp
+++ b/src/rattandock/app/fleet_sync_members.cpp
@@ -16,7 +16,7 @@
 
 /// How often a VM writes its row, and at most reads those of others. Two beats make a VM's silence.
 constexpr Duration beatInterval = std::chrono::milliseconds{700};
-/// Beats of the first seconds, so that VMs that start together soon know of each other.
+/// Beats of the first seconds, so that VMs that start together soon read the rows of each other.
 constexpr Duration firstBeatInterval = std::chrono::milliseconds{150};
 constexpr std::uint64_t firstBeats = 10;
 /// Beats between two readings of the list of zones.
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -294,7 +294,7 @@
         TasksReturned returned{offer.second, {}, 1};
         for (std::size_t n = 0; n < job.tasks.size(); ++n) {
             Task &task = job.tasks[n];
-            // A task that has failed stays, because the offering VM doesn't know of its failures.
+            // A task that has failed stays, because the offering VM does not count its failures.
             if (task.state != TaskState::Waiting || task.failures > 0
                 || now < task.notBefore + requeuedWait) {
                 continue;
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -705,7 +705,7 @@
     BOOST_TEST(starts == 1);
 }
 
-// Guards against a new keeper that learns by lost runs what the previous one knew.
+// Guards against a new keeper that loses runs on an upstream that the previous one did not trust.
 BOOST_AUTO_TEST_CASE(passesOnWhatItKnowsOfAnUpstream)
 {
     linkVm("b", ownMessageLevel);
@@ -713,7 +713,7 @@
     take<SendToVm>();
     quarantineUpstream(RunEndKind::Failed);
     const auto sent = take<SendToVm>();
-    // A VM that doesn't know the message would close the link.
+    // A VM that does not support the message would close the link.
     BOOST_REQUIRE(sent.size() == 1);
     BOOST_TEST(sent[0].vm.value() == "b");
     const auto quarantined = std::get<UpstreamSuspicion>(sent[0].message);
--- a/src/rattandock/fleet/fleet_dispatcher_trust.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_trust.cpp
@@ -1,4 +1,4 @@
-// How far a FleetDispatcher trusts its upstreams, and what it tells other VMs about it.
+// How far a FleetDispatcher trusts its upstreams, and what it sends to other VMs about it.
 #include <array>
 
 #include "rattandock/fleet/fleet_dispatcher.hpp"
--- a/src/rattandock/fleet/fleet_dispatcher_warm_up.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_warm_up.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Maximum number of upstreams in a message. A process that reads the whole list first may find
-/// more, which the other VMs know already.
+/// more, which the other VMs have received already.
 constexpr std::size_t maxSentUpstreams = 200;
 
 } // namespace
--- a/src/rattandock/fleet/fleet_dispatcher_warm_up_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_warm_up_test.cpp
@@ -17,7 +17,7 @@
     {
         send(UpstreamListRead{{}, {}, false, now, {{upstream, now + left}}});
     }
-    /// Lets another VM of the own zone join that knows the messages of a revision.
+    /// Lets another VM of the own zone join that supports the messages of a revision.
     void joinZone(const VmId &vm, std::uint64_t revision)
     {
         send(MembersRead{std::vector{MemberRow{self, Incarnation{7}, zone, "127.0.0.1:1"},
@@ -82,7 +82,7 @@
 
 // Guards against a VM that does not learn that an upstream is cold because another one reads the
 // list, against a message with each entry that is written, and against links that close because a
-// former build gets a message that it does not know.
+// former build gets a message that it does not support.
 BOOST_AUTO_TEST_CASE(tellsTheVmsOfTheZone)
 {
     joinZone(VmId{"c"}, coldUpstreamsRevision);
--- a/src/rattandock/fleet/sharing_test.cpp
+++ b/src/rattandock/fleet/sharing_test.cpp
@@ -169,7 +169,7 @@
 }
 
 // Guards against a VM that sends its whole queue to a peer within one report, and against offers
-// to queues of VMs whose build doesn't know them or whose upstreams are too slow.
+// to queues of VMs whose build does not support them or whose upstreams are too slow.
 BOOST_AUTO_TEST_CASE(countsOfferedTasksInThePeersQueue)
 {
     PeerRoom room{ZoneId{"a"}};
--- a/src/rattandock/fleet/zone_return_replay_test.cpp
+++ b/src/rattandock/fleet/zone_return_replay_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// What the dispatcher knows about the upstreams that return.
+/// Information of the dispatcher on the upstreams that return.
 enum class Knowledge : std::uint8_t {
     /// Nothing, as before this change: their processes are replaced, which drops their records, and
     /// their entries do not state that they are cold.
