Return offered tasks that find no room after 10 ms

Cause: an offer rests on a report that is up to a heartbeat old. A VM that had no room any more kept the offered task for 100 ms before it returned it, and the offering VM then tried the next one.

A task without room on arrival is now returned with the next check. An offer of a job whose earlier run still executes at the receiver keeps the former wait, since the task must not start elsewhere meanwhile; endsAJobThatAnotherVmOffers failed without that.

--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -13,8 +13,12 @@
 /// that are left are offered with the next event.
 constexpr std::size_t maxOffersPerEvent = 2;
 /// Time that a task of another VM, whose run here has lapsed or was refused, may wait for another
-/// start here. About one heartbeat interval, after which the other VM has newer reports.
+/// start here. About one heartbeat interval, after which the other VM has newer reports. Longer
+/// than the wait of a new offer, as room here may come back with the run.
 constexpr Duration requeuedWait = std::chrono::milliseconds{100};
+/// Time that an offered task waits for the end of an earlier run of its job here. Another VM that
+/// started it meanwhile would run it twice.
+constexpr Duration endingRunWait = std::chrono::milliseconds{100};
 /// Safety margin before the caller's deadline, relative to the expected run time, as run times
 /// spread by 40%.
 constexpr double runTimeMargin = 0.4;
@@ -168,7 +172,11 @@
     const JobNumber number = addJob(std::move(spec), OfferOrigin{event.from, offer.number},
                                     offer.tasks, offer.firstRun, now);
     Job &job = m_jobs.at(number);
-    job.firstStartLimit = offeredStartLimit(now, lastReturnOf(job), event.startWithin);
+    std::optional<Duration> startWithin = event.startWithin;
+    if (m_endingRuns.mayExecute(offer.job.id, now)) {
+        startWithin = std::max(startWithin.value_or(Duration{}), endingRunWait);
+    }
+    job.firstStartLimit = offeredStartLimit(now, lastReturnOf(job), startWithin);
     m_queueProfiles.recordOffer(offer.job, now);
     m_jobsByOffer[{event.from, offer.number}] = number;
 }
--- a/src/rattandock/fleet/wait_limit.cpp
+++ b/src/rattandock/fleet/wait_limit.cpp
@@ -11,8 +11,10 @@
 /// half.
 constexpr double maxWaitShare = 0.47;
 
-/// About one heartbeat interval. After it the offering VM has newer reports of free capacity.
-constexpr Duration maxOfferedWait = std::chrono::milliseconds{100};
+/// Tasks of short runs end this often on a busy VM, so a later start is possible without another
+/// offer. A longer wait delays the start elsewhere: 100 ms cost a long task a tenth of its chance
+/// to end in time, and it may be offered several times.
+constexpr Duration maxOfferedWait = std::chrono::milliseconds{10};
 
 } // namespace
 
