End the runs of an upstream whose host refuses connections

Callers of tasks on a crashed upstream waited for the end of the lease, 637 ms of their 1,500, before their tasks were started again, and most of these jobs missed their deadline.

Cause: a failed poll said only that there is no report, whatever the reason. A refused connection shows that no process listens at the address, so the runs that the upstream had confirmed have ended with it. They now end at once, as crashed. A start order without a reply may still reach the next process, so its run ends with the lease as before; and a draining upstream ends as announced, which is no crash.

endsRunsAtOnceIfTheConnectionIsRefused fails on the former code. endsAllRunsOfAFormerProcess expects crashed in place of lapsed, as the kinds are now told apart.

--- a/include/rattandock/fleet/run_report.hpp
+++ b/include/rattandock/fleet/run_report.hpp
@@ -35,6 +35,8 @@
     Broken,
     /// The other members of the run's group did not start in time.
     Alone,
+    /// The upstream's process ended while the run was active. Not reported by upstreams.
+    Crashed,
 };
 
 struct ActiveRun
@@ -89,8 +91,11 @@
     NoAnswer,
     /// No connection was established, so the order was not sent.
     NotSent,
+    /// The upstream's host refused the connection, so the order was not sent: no process listens at
+    /// the address.
+    ConnectionRefused,
 };
-inline constexpr std::size_t orderResultCount = 10;
+inline constexpr std::size_t orderResultCount = 11;
 /// Returns the reason text for the result, for logs and metrics.
 std::string_view name(OrderResult result);
 
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -74,7 +74,8 @@
 /// A start order without a reply keeps its room reserved until the order can no longer take effect.
 /// To ensure that, the ledger raises the fencing token and polls with the new token; the order is
 /// fenced off if the report of that poll does not contain the run. If the upstream does not reply
-/// at all, its runs are considered ended when the last lease that was sent has expired.
+/// at all, its runs are considered ended when the last lease that was sent has expired. If its host
+/// refuses connections, its process and with it the runs have ended.
 /// Thread safety: none.
 class UpstreamLedger
 {
@@ -169,6 +170,9 @@
     Runs::iterator remove(Runs::iterator it);
     void end(Runs::iterator it, RunEndKind kind, TimePoint now, LedgerOutputs &out);
     void endAll(RunEndKind kind, TimePoint now, LedgerOutputs &out);
+    /// Ends the confirmed runs after the end of the upstream's process. A start order without a
+    /// reply may still reach the next process, so its run ends with the lease.
+    void handleProcessEnd(TimePoint now, LedgerOutputs &out);
     /// Handles a report of another process than the previous reports under the same upstream id.
     void handleProcessRestart(const RunReport &report, TimePoint now, LedgerOutputs &out);
     void updateClock(UpstreamTime clock, TimePoint now);
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -22,7 +22,8 @@
 /// How runs end that are started again, and why orders had no effect.
 std::vector<std::string_view> runRepeats()
 {
-    std::vector<std::string_view> names{"failed", "stopped", "lapsed", "broken", "alone"};
+    std::vector<std::string_view> names{"failed", "stopped", "lapsed",
+                                        "broken", "alone",   "crashed"};
     for (const std::string_view it : namesOf<fleet::OrderResult>(fleet::orderResultCount)) {
         if (it != "done") {
             names.push_back(it);
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -238,8 +238,8 @@
     if (over.kind == RunEndKind::Failed && ++task.failures >= job.spec.maxAttempts) {
         return endJob(number, JobFailed{}, now, actions);
     }
-    static constexpr std::array<std::string_view, 6> names{"done",   "failed", "stopped",
-                                                           "lapsed", "broken", "alone"};
+    static constexpr std::array<std::string_view, 7> names{"done",   "failed", "stopped", "lapsed",
+                                                           "broken", "alone",  "crashed"};
     actions.emplace_back(FleetLogRecord{
             FleetLogRecordKind::RunRepeated, names.at(static_cast<std::size_t>(over.kind)),
             job.spec.id,
@@ -284,9 +284,9 @@
 {
     // After other results, an earlier process of the upstream may have executed the start or
     // another run of the task.
-    static constexpr std::array refusals{OrderResult::Fenced, OrderResult::Late,
-                                         OrderResult::NoRoom, OrderResult::Unhealthy,
-                                         OrderResult::NotSent};
+    static constexpr std::array refusals{OrderResult::Fenced,  OrderResult::Late,
+                                         OrderResult::NoRoom,  OrderResult::Unhealthy,
+                                         OrderResult::NotSent, OrderResult::ConnectionRefused};
     if (std::ranges::find(refusals, reason) == refusals.end()) {
         return;
     }
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -150,7 +150,7 @@
         const ActiveRun run{it->first.name, it->first.number};
         const bool isActive = std::ranges::find(report.active, run) != report.active.end();
         if (!isActive && it->second.confirmed) {
-            end(it, RunEndKind::Lapsed, now, out);
+            end(it, RunEndKind::Crashed, now, out);
         }
         it = next;
     }
@@ -161,6 +161,19 @@
     m_retryAt = now;
 }
 
+void UpstreamLedger::handleProcessEnd(TimePoint now, LedgerOutputs &out)
+{
+    // A draining upstream ends as announced.
+    const RunEndKind kind = m_entry.draining ? RunEndKind::Lapsed : RunEndKind::Crashed;
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto next = std::next(it);
+        if (it->second.confirmed) {
+            end(it, kind, now, out);
+        }
+        it = next;
+    }
+}
+
 void UpstreamLedger::pollAnswered(PollNumber number, const RunReport &report, TimePoint now,
                                   LedgerOutputs &out)
 {
@@ -251,6 +264,9 @@
         out.emplace_back(UpstreamLost{m_entry.id, result});
         return;
     }
+    if (result == OrderResult::ConnectionRefused) {
+        handleProcessEnd(now, out);
+    }
     const Duration pause = std::min(m_times.maxRetryDelay,
                                     m_times.firstRetryDelay * (1U << std::min(m_failures, 6U)));
     ++m_failures;
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -155,6 +155,41 @@
     BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Lapsed));
 }
 
+// Guards against tasks of a crashed upstream that are started again only after the lease, which is
+// two fifths of a caller's time.
+BOOST_AUTO_TEST_CASE(endsRunsAtOnceIfTheConnectionIsRefused)
+{
+    start(0);
+    startAnswered(0, OrderResult::Done);
+    start(1);
+    ledger.step(now, out);
+    failPoll(OrderResult::NoAnswer);
+    BOOST_TEST(all<RunEnded>().empty());
+    now += 20ms;
+    ledger.step(now, out);
+    failPoll(OrderResult::ConnectionRefused);
+    BOOST_REQUIRE(all<RunEnded>().size() == 1);
+    BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Crashed));
+    BOOST_TEST(all<RunEnded>()[0].task.task.value() == 0);
+    // The other order may still reach the next process.
+    BOOST_TEST(ledger.runCount() == 1);
+    BOOST_TEST(!ledger.takesOrders());
+}
+
+// Guards against blaming tasks for the announced end of an upstream.
+BOOST_AUTO_TEST_CASE(doesNotTakeTheEndOfADrainingUpstreamForACrash)
+{
+    start(0);
+    startAnswered(0, OrderResult::Done);
+    ledger.step(now, out);
+    UpstreamEntry draining = entry();
+    draining.draining = true;
+    ledger.update(draining);
+    failPoll(OrderResult::ConnectionRefused);
+    BOOST_REQUIRE(all<RunEnded>().size() == 1);
+    BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Lapsed));
+}
+
 // Guards against counting the room of a previous keeper's runs as free, or leaving them running.
 BOOST_AUTO_TEST_CASE(stopsRunsThatItDidNotStart)
 {
@@ -198,7 +233,7 @@
     processStart = UpstreamProcessStart{8};
     answerPoll({});
     BOOST_REQUIRE(all<RunEnded>().size() == 1);
-    BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Lapsed));
+    BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Crashed));
     BOOST_TEST((before < ledger.token()));
     BOOST_TEST(lastPoll().acknowledged.value() == 0);
 }
