Give up a task under which two upstreams have crashed

A task that crashes each upstream that starts it was started again until its caller's deadline, on one upstream after the other, and each crash ended the other tasks there.

Cause: the end of a run by a crash was taken for a lapsed lease, which counts neither against the task nor tells it apart from the tasks that ran beside it. The class of fault: a retry without a budget for a failure that the retry itself spreads.

The keeper now counts the crashes of each task. A suspected task is started again where it has the fewest runs beside it, and nothing is started beside it there. After the second such crash, or the third of any kind, its job fails with the reason upstream-crashes, so that its caller does not submit it again. Such a task is not offered to other VMs, which would count anew.

Open: the counts are those of one keeper. A VM that takes over a job after another one is lost, or that gets a resubmitted job, counts from zero.

--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -48,12 +48,22 @@
 inline constexpr std::size_t breakOffReasonCount = 5;
 std::string_view name(BreakOffReason reason);
 
+enum class FailureReason : std::uint8_t {
+    /// A task failed as many times as the job allows, or an upstream rejected it.
+    Attempts,
+    /// Upstreams crashed under a task repeatedly.
+    UpstreamCrashes,
+};
+inline constexpr std::size_t failureReasonCount = 2;
+std::string_view name(FailureReason reason);
+
 struct JobCompleted
 {
 };
-/// A task failed as many times as the job allows.
+/// The job is not tried again.
 struct JobFailed
 {
+    FailureReason reason = FailureReason::Attempts;
 };
 /// The job was rejected. None of its tasks has run or will run.
 struct JobTurnedAway
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -119,6 +119,10 @@
         std::uint32_t unusedRuns = 0;
         /// Runs that ended in failure.
         std::uint32_t failures = 0;
+        /// Runs under which the upstream crashed.
+        std::uint32_t crashes = 0;
+        /// Those of them that were among the last started there.
+        std::uint32_t suspectedCrashes = 0;
         /// Expected run time of the latest run.
         Duration expected{};
         TimePoint startedAt;
@@ -192,6 +196,9 @@
         TimePoint lastSuccess;
         /// When a run last ended there, the VM began to keep it, or its process was replaced.
         TimePoint idleSince;
+        /// Run of a task that is suspected of crashing upstreams. No other task is started beside
+        /// it.
+        std::optional<TaskRef> isolatedRun;
     };
     /// An entry of the platform's list of upstreams.
     struct ListedUpstream
@@ -333,6 +340,13 @@
     /// Resets Job::hasStarted if all starts were refused, so that the job can be refused
     /// truthfully.
     static void forgetRefusedStart(Job &job, Task &task, OrderResult reason);
+    /// Records that the upstream of the task's run has crashed. Returns true if the task must not
+    /// be started again.
+    static bool recordCrash(Task &task, bool isSuspect);
+    /// Restricts the candidates for a task that is suspected of crashing upstreams to those on
+    /// which a crash would end the fewest other runs.
+    static void isolate(std::vector<PlacementCandidate> &candidates,
+                        const std::vector<KeptUpstream *> &kept);
     void completeTask(JobNumber number, Job &job, Task &task, FleetActions &actions);
     void requeueTask(Job &job, Task &task, TimePoint notBefore);
     /// Counts overdue runs against their upstream and restarts those that can still end in time.
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -48,6 +48,9 @@
     Duration elapsed{};
     /// Whether the upstream confirmed that the run had started.
     bool confirmed = false;
+    /// True if the upstream's process ended shortly after the last start on it, and this run was
+    /// among the last that were started.
+    bool isCrashSuspect = false;
 };
 
 /// Reports that a start order has not started a run and can no longer do so.
@@ -158,6 +161,9 @@
         /// When the upstream first confirmed the run; `std::nullopt` before.
         std::optional<TimePoint> confirmed;
         TimePoint stopSent;
+        /// Set once the upstream's process has ended.
+        bool hasCrashed = false;
+        bool isCrashSuspect = false;
     };
     struct Poll
     {
@@ -173,6 +179,8 @@
     /// Ends the confirmed runs after the end of the upstream's process. A start order without a
     /// reply may still reach the next process, so its run ends with the lease.
     void handleProcessEnd(TimePoint now, LedgerOutputs &out);
+    /// Marks all runs as crashed, and the ones that were started last as suspects.
+    void markCrashed();
     /// Handles a report of another process than the previous reports under the same upstream id.
     void handleProcessRestart(const RunReport &report, TimePoint now, LedgerOutputs &out);
     void updateClock(UpstreamTime clock, TimePoint now);
--- a/src/rattandock/fleet/fleet_action.cpp
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -19,6 +19,13 @@
     return names.at(static_cast<std::size_t>(reason));
 }
 
+std::string_view name(FailureReason reason)
+{
+    static constexpr std::array<std::string_view, failureReasonCount> names{"attempts",
+                                                                            "upstream-crashes"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 std::string_view name(FleetLogRecordKind kind)
 {
     static constexpr std::array<std::string_view, fleetLogRecordKindCount> names{
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -22,8 +22,8 @@
     return std::visit(Overloaded{[&](const JobCompleted &) {
                                      return note(FleetLogRecordKind::JobCompleted, "done");
                                  },
-                                 [&](const JobFailed &) {
-                                     return note(FleetLogRecordKind::JobFailed, "attempts");
+                                 [&](const JobFailed &it) {
+                                     return note(FleetLogRecordKind::JobFailed, name(it.reason));
                                  },
                                  [&](const JobTurnedAway &it) {
                                      FleetLogRecord record = note(FleetLogRecordKind::JobTurnedAway,
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -111,7 +111,9 @@
         }
         std::vector<std::uint32_t> indices;
         for (std::uint32_t it = 0; it < job.tasks.size() && indices.size() < share->tasks; ++it) {
-            if (job.tasks[it].state == TaskState::Waiting && job.tasks[it].notBefore <= now) {
+            const Task &task = job.tasks[it];
+            // The crashes of a task are counted here, so another VM would start it too often.
+            if (task.state == TaskState::Waiting && task.notBefore <= now && task.crashes == 0) {
                 indices.push_back(it);
             }
         }
@@ -302,8 +304,9 @@
         TasksReturned returned{offer.second, {}, 1};
         for (std::size_t n = 0; n < job.tasks.size(); ++n) {
             Task &task = job.tasks[n];
-            // A task that has failed stays, because the offering VM does not count its failures.
-            if (task.state != TaskState::Waiting || task.failures > 0
+            // A task that has failed or crashed an upstream stays, because the offering VM does not
+            // count that.
+            if (task.state != TaskState::Waiting || task.failures > 0 || task.crashes > 0
                 || now < task.notBefore + requeuedWait) {
                 continue;
             }
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+/// Crashes of upstreams under a task after which it is not started again, if the task was among the
+/// last that were started there each time. One crash may have another cause.
+constexpr std::uint32_t maxSuspectedCrashes = 2;
+/// The same if other tasks were started later.
+constexpr std::uint32_t maxCrashes = 3;
 /// A task waits for a faster upstream for at most this share of its caller's time.
 constexpr double maxWaitForFasterShare = 0.2;
 
@@ -111,13 +116,21 @@
         candidates.push_back({kept.size(), room.minus(job.spec.need).cpu.value(), expected});
         kept.push_back(&it);
     }
+    Task &task = job.tasks[index];
+    const bool isSuspect = task.suspectedCrashes > 0;
+    if (isSuspect) {
+        isolate(candidates, kept);
+    }
     const auto choice = choosePlacement(candidates, placementLimitsOf(job, now));
     if (!choice) {
         return false;
     }
     UpstreamLedger &ledger = kept[*choice]->ledger;
     const UpstreamId &upstream = ledger.entry().id;
-    Task &task = job.tasks[index];
+    const TaskRef ref{number, TaskIndex{static_cast<std::uint32_t>(index)}};
+    if (isSuspect) {
+        kept[*choice]->isolatedRun = ref;
+    }
     task.state = TaskState::Running;
     task.upstream = upstream;
     task.expected = candidates[*choice].expected;
@@ -129,9 +142,8 @@
     const RunName name{job.spec.id.value(), 0, 0, job.indices[index]};
     const RunNumber run{task.nextRun++};
     const UpstreamTime leaseUntil = ledger.leaseUntil(now);
-    ledger.startSent({number, TaskIndex{static_cast<std::uint32_t>(index)}}, name, run,
-                     job.spec.need, now);
-    m_upstreamWatch.started(upstream, {number, TaskIndex{static_cast<std::uint32_t>(index)}});
+    ledger.startSent(ref, name, run, job.spec.need, now);
+    m_upstreamWatch.started(upstream, ref);
     actions.emplace_back(
             StartOrder{upstream, name, run, ledger.token(), leaseUntil, job.spec.payload});
     return true;
@@ -201,6 +213,9 @@
     const auto kept = m_keptUpstreams.find(upstream);
     if (kept != m_keptUpstreams.end()) {
         kept->second.idleSince = now;
+        if (kept->second.isolatedRun == over.task) {
+            kept->second.isolatedRun.reset();
+        }
         if (over.kind == RunEndKind::Done) {
             kept->second.lastSuccess = now;
         }
@@ -238,6 +253,8 @@
     if (over.kind == RunEndKind::Failed && ++task.failures >= job.spec.maxAttempts) {
         return endJob(number, JobFailed{}, now, actions);
     }
+    const bool isGivenUp =
+            over.kind == RunEndKind::Crashed && recordCrash(task, over.isCrashSuspect);
     static constexpr std::array<std::string_view, 7> names{"done",   "failed", "stopped", "lapsed",
                                                            "broken", "alone",  "crashed"};
     actions.emplace_back(FleetLogRecord{
@@ -246,12 +263,39 @@
             "task " + std::to_string(job.indices[over.task.task.value()]) + ", " + upstream.value()
                     + ", after " + std::to_string(toMilliseconds(over.elapsed)) + " ms"});
     requeueTask(job, task, m_abandonedRunsEndAt.value_or(now));
+    if (isGivenUp) {
+        endJob(number, JobFailed{FailureReason::UpstreamCrashes}, now, actions);
+    }
+}
+
+bool FleetDispatcher::recordCrash(Task &task, bool isSuspect)
+{
+    ++task.crashes;
+    task.suspectedCrashes += isSuspect ? 1U : 0U;
+    return task.suspectedCrashes >= maxSuspectedCrashes || task.crashes >= maxCrashes;
+}
+
+void FleetDispatcher::isolate(std::vector<PlacementCandidate> &candidates,
+                              const std::vector<KeptUpstream *> &kept)
+{
+    const auto runs = [&](const PlacementCandidate &it) {
+        return kept[it.index]->ledger.runCount();
+    };
+    const auto least = std::ranges::min_element(candidates, {}, runs);
+    if (least != candidates.end()) {
+        std::erase_if(candidates,
+                      [&, n = runs(*least)](const PlacementCandidate &it) { return runs(it) > n; });
+    }
 }
 
 void FleetDispatcher::handleRunNotStarted(const UpstreamId &upstream, const RunNeverStarted &run,
                                           TimePoint now, FleetActions &actions)
 {
     m_isDispatchDue = true;
+    if (const auto kept = m_keptUpstreams.find(upstream);
+        kept != m_keptUpstreams.end() && kept->second.isolatedRun == run.task) {
+        kept->second.isolatedRun.reset();
+    }
     const JobNumber number = run.task.job;
     const auto found = m_jobs.find(number);
     if (run.reason == OrderResult::Unhealthy && found != m_jobs.end()) {
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -189,7 +189,8 @@
                 KeptUpstream{UpstreamLedger{listed->second.entry, row.epoch, m_options.lease},
                              false,
                              {},
-                             now});
+                             now,
+                             {}});
         actions.emplace_back(
                 FleetLogRecord{FleetLogRecordKind::UpstreamClaimed,
                                "claimed",
@@ -314,7 +315,7 @@
 bool FleetDispatcher::mayPlaceOn(const KeptUpstream &kept, TimePoint now) const
 {
     const UpstreamEntry &entry = kept.ledger.entry();
-    return !kept.isReleasing && !entry.draining && kept.ledger.takesOrders()
+    return !kept.isReleasing && !kept.isolatedRun && !entry.draining && kept.ledger.takesOrders()
            && isUpstreamListUsable(now) && !m_evacuations.isEvacuated(entry.zone)
            && areEvacuationsUsable(now) && m_upstreamWatch.mayStart(entry.id, now);
 }
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -11,6 +11,10 @@
 /// and network delays are far smaller.
 constexpr Duration minClockSetBack = std::chrono::seconds{1};
 
+/// Runs that were started within this time of the last one are all suspected of a crash, as the
+/// order in which the upstream started them is unknown.
+constexpr Duration crashSuspectWindow = std::chrono::milliseconds{10};
+
 /// Number of token values per epoch, so that a new keeper's tokens exceed all of its predecessor's.
 constexpr std::uint64_t tokenIncrementsPerEpoch = 1U << 20U;
 
@@ -110,7 +114,10 @@
 void UpstreamLedger::end(Runs::iterator it, RunEndKind kind, TimePoint now, LedgerOutputs &out)
 {
     const Run &run = it->second;
-    out.emplace_back(RunEnded{run.task, kind, now - run.sent, run.confirmed.has_value()});
+    const RunEndKind actual =
+            kind == RunEndKind::Lapsed && run.hasCrashed ? RunEndKind::Crashed : kind;
+    out.emplace_back(RunEnded{run.task, actual, now - run.sent, run.confirmed.has_value(),
+                              run.isCrashSuspect});
     remove(it);
 }
 
@@ -142,6 +149,7 @@
     if (!isRestart) {
         return;
     }
+    markCrashed();
     // The new process has none of the previous runs and has received no token, so it would execute
     // an old order that is still in transit. It refuses such orders once the next poll has
     // delivered the raised token.
@@ -150,7 +158,7 @@
         const ActiveRun run{it->first.name, it->first.number};
         const bool isActive = std::ranges::find(report.active, run) != report.active.end();
         if (!isActive && it->second.confirmed) {
-            end(it, RunEndKind::Crashed, now, out);
+            end(it, RunEndKind::Lapsed, now, out);
         }
         it = next;
     }
@@ -163,17 +171,34 @@
 
 void UpstreamLedger::handleProcessEnd(TimePoint now, LedgerOutputs &out)
 {
-    // A draining upstream ends as announced.
-    const RunEndKind kind = m_entry.draining ? RunEndKind::Lapsed : RunEndKind::Crashed;
+    markCrashed();
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
         if (it->second.confirmed) {
-            end(it, kind, now, out);
+            end(it, RunEndKind::Lapsed, now, out);
         }
         it = next;
     }
 }
 
+void UpstreamLedger::markCrashed()
+{
+    // A draining upstream ends as announced.
+    if (m_entry.draining) {
+        return;
+    }
+    TimePoint last = TimePoint::min();
+    for (const auto &[key, run] : m_runs) {
+        last = run.hasCrashed ? last : std::max(last, run.sent);
+    }
+    for (auto &[key, run] : m_runs) {
+        if (!run.hasCrashed) {
+            run.hasCrashed = true;
+            run.isCrashSuspect = run.sent + crashSuspectWindow >= last;
+        }
+    }
+}
+
 void UpstreamLedger::pollAnswered(PollNumber number, const RunReport &report, TimePoint now,
                                   LedgerOutputs &out)
 {
@@ -211,6 +236,8 @@
         if (!run->second.confirmed) {
             run->second.confirmed = now;
         }
+        // An order that reached the next process after the crash of the former one.
+        run->second.hasCrashed = false;
         State &state = run->second.state;
         if (state == State::Starting || state == State::Unconfirmed) {
             state = State::Active;
@@ -232,9 +259,13 @@
             end(it, RunEndKind::Lapsed, now, out);
         } else if (isMissing && !run.confirmed && run.state != State::Starting
                    && run.token < poll.token) {
-            const TaskRef task = run.task;
-            remove(it);
-            out.emplace_back(RunNeverStarted{task, OrderResult::NoAnswer});
+            if (run.hasCrashed) {
+                end(it, RunEndKind::Lapsed, now, out);
+            } else {
+                const TaskRef task = run.task;
+                remove(it);
+                out.emplace_back(RunNeverStarted{task, OrderResult::NoAnswer});
+            }
         }
         it = next;
     }
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -176,6 +176,27 @@
     BOOST_TEST(!ledger.takesOrders());
 }
 
+// Guards against blaming all tasks of a crashed upstream alike, so that healthy ones are given up.
+BOOST_AUTO_TEST_CASE(suspectsTheRunsThatWereStartedLast)
+{
+    start(0);
+    startAnswered(0, OrderResult::Done);
+    now += 50ms;
+    start(1);
+    startAnswered(1, OrderResult::NoAnswer);
+    ledger.step(now, out);
+    failPoll(OrderResult::ConnectionRefused);
+    BOOST_REQUIRE(all<RunEnded>().size() == 1);
+    BOOST_TEST(all<RunEnded>()[0].task.task.value() == 0);
+    BOOST_TEST(!all<RunEnded>()[0].isCrashSuspect);
+    // The order without a reply was sent last. Its run ends with the lease.
+    now += 640ms;
+    ledger.step(now, out);
+    BOOST_REQUIRE(all<RunEnded>().size() == 2);
+    BOOST_TEST((all<RunEnded>()[1].kind == RunEndKind::Crashed));
+    BOOST_TEST(all<RunEnded>()[1].isCrashSuspect);
+}
+
 // Guards against blaming tasks for the announced end of an upstream.
 BOOST_AUTO_TEST_CASE(doesNotTakeTheEndOfADrainingUpstreamForACrash)
 {
