Test that a capacity that shrinks is respected

The platform's upstreams may shrink and grow while they run tasks. The test passes on the former code: this cannot happen here.

--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -95,6 +95,22 @@
     BOOST_TEST((before < ledger.token()));
 }
 
+// Guards against starts beyond the capacity of an upstream that shrinks while it runs tasks.
+BOOST_AUTO_TEST_CASE(followsACapacityThatShrinksAndGrows)
+{
+    start(0);
+    UpstreamEntry smaller = entry();
+    smaller.capacity.cpu = MilliCores{20'000};
+    ledger.update(smaller);
+    BOOST_TEST(ledger.freeRoom().cpu.value() == 0);
+    BOOST_TEST(!ledger.freeRoom().covers(taskNeed));
+    smaller.capacity.cpu = MilliCores{50'000};
+    ledger.update(smaller);
+    BOOST_TEST(ledger.freeRoom().cpu.value() == 23'000);
+    ledger.update(entry());
+    BOOST_TEST(ledger.freeRoom().cpu.value() == 37'000);
+}
+
 // Guards against running a task twice: a start order without a reply may be executed late, so it
 // must be fenced off before the task is started again.
 BOOST_AUTO_TEST_CASE(repeatsAnUnansweredStartOnlyAfterAPollWithAHigherToken)
