--- a/src/rattandock/fleet/fleet_crash_test.cpp
+++ b/src/rattandock/fleet/fleet_crash_test.cpp
@@ -104,7 +104,9 @@
     }
     void answerPolls()
     {
-        for (auto &[id, upstream] : upstreams) {
+        for (auto &known : upstreams) {
+            const UpstreamId &id = known.first;
+            Upstream &upstream = known.second;
             if (!upstream.pending) {
                 continue;
             }
