--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -252,6 +252,8 @@
     void checkEvacuation(std::size_t vm, const Upstream &upstream);
 
     OrderOutcome drawOrderOutcome();
+    /// Returns true if the upstream's process has crashed and its host is not cut off from the VM.
+    bool refusesConnections(std::size_t n, const Upstream &upstream) const;
     bool canReach(std::size_t vm, const Upstream &upstream) const;
     Upstream &findUpstream(const UpstreamId &id);
     UpstreamTime upstreamClock(const Upstream &upstream) const;
--- a/src/rattandock/fleet/fleet_world_upstreams_test.cpp
+++ b/src/rattandock/fleet/fleet_world_upstreams_test.cpp
@@ -24,6 +24,11 @@
     return m_now >= upstream.unreachableUntil && !upstream.unreachableFrom.contains(n);
 }
 
+bool FleetWorld::refusesConnections(std::size_t n, const Upstream &upstream) const
+{
+    return m_now < upstream.unreachableUntil && !upstream.unreachableFrom.contains(n);
+}
+
 FleetWorld::Upstream &FleetWorld::findUpstream(const UpstreamId &id)
 {
     return *std::ranges::find(m_upstreams, id, [](const Upstream &it) { return it.entry.id; });
@@ -43,6 +48,11 @@
     const auto unanswered = [this, answer](Duration after) {
         schedule(m_now + after, [answer] { answer(OrderResult::NoAnswer, std::nullopt); });
     };
+    if (refusesConnections(n, findUpstream(id))) {
+        schedule(m_now + networkDelay,
+                 [answer] { answer(OrderResult::ConnectionRefused, std::nullopt); });
+        return;
+    }
     if (!canReach(n, findUpstream(id)) || outcome == OrderOutcome::Lost) {
         return unanswered(orderTimeout);
     }
@@ -156,6 +166,9 @@
         post(n, process, RunReportFailed{request.upstream, request.number, result}, after);
     };
     const OrderOutcome outcome = drawOrderOutcome();
+    if (refusesConnections(n, findUpstream(request.upstream))) {
+        return failed(OrderResult::ConnectionRefused, networkDelay);
+    }
     if (!canReach(n, findUpstream(request.upstream)) || outcome == OrderOutcome::Lost
         || outcome == OrderOutcome::Delayed) {
         return failed(OrderResult::NoAnswer, request.wait + orderTimeout);
