End runs by a refused connection only after a failed poll

A process that has reached its limit of connections may refuse one while its tasks run. If their runs ended by that, the tasks would run twice.

--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -295,7 +295,9 @@
         out.emplace_back(UpstreamLost{m_entry.id, result});
         return;
     }
-    if (result == OrderResult::ConnectionRefused) {
+    // The first failure is the end of the connection on which the poll was open. A refusal alone
+    // may come from a process that has reached its limit of connections.
+    if (result == OrderResult::ConnectionRefused && m_failures > 0) {
         handleProcessEnd(now, out);
     }
     const Duration pause = std::min(m_times.maxRetryDelay,
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -201,6 +201,9 @@
     start(1);
     startAnswered(1, OrderResult::NoAnswer);
     ledger.step(now, out);
+    failPoll(OrderResult::NoAnswer);
+    now += 20ms;
+    ledger.step(now, out);
     failPoll(OrderResult::ConnectionRefused);
     BOOST_REQUIRE(all<RunEnded>().size() == 1);
     BOOST_TEST(all<RunEnded>()[0].task.task.value() == 0);
@@ -213,6 +216,21 @@
     BOOST_TEST(all<RunEnded>()[1].isCrashSuspect);
 }
 
+// Guards against starting tasks twice because a process at its limit of connections refuses one.
+BOOST_AUTO_TEST_CASE(keepsRunsIfOnlyOneConnectionIsRefused)
+{
+    start(0);
+    startAnswered(0, OrderResult::Done);
+    ledger.step(now, out);
+    failPoll(OrderResult::ConnectionRefused);
+    BOOST_TEST(all<RunEnded>().empty());
+    now += 20ms;
+    ledger.step(now, out);
+    answerPoll({{}, {}, {{name(0), RunNumber{1}}}, {}});
+    BOOST_TEST(ledger.runCount() == 1);
+    BOOST_TEST(ledger.takesOrders());
+}
+
 // Guards against blaming tasks for the announced end of an upstream.
 BOOST_AUTO_TEST_CASE(doesNotTakeTheEndOfADrainingUpstreamForACrash)
 {
@@ -222,6 +240,9 @@
     UpstreamEntry draining = entry();
     draining.draining = true;
     ledger.update(draining);
+    failPoll(OrderResult::NoAnswer);
+    now += 20ms;
+    ledger.step(now, out);
     failPoll(OrderResult::ConnectionRefused);
     BOOST_REQUIRE(all<RunEnded>().size() == 1);
     BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Lapsed));
