--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -48,8 +48,8 @@
     Duration elapsed{};
     /// Whether the upstream confirmed that the run had started.
     bool confirmed = false;
-    /// True if the upstream's process ended shortly after the last start on it, and this run was
-    /// among the last that were started.
+    /// True if the upstream's process ended during the run, and the run was among the last that
+    /// were started there.
     bool isCrashSuspect = false;
 };
 
@@ -78,7 +78,7 @@
 /// To ensure that, the ledger raises the fencing token and polls with the new token; the order is
 /// fenced off if the report of that poll does not contain the run. If the upstream does not reply
 /// at all, its runs are considered ended when the last lease that was sent has expired. If its host
-/// refuses connections, its process and with it the runs have ended.
+/// refuses a connection after a failed poll, its process and with it the runs have ended.
 /// Thread safety: none.
 class UpstreamLedger
 {
