Move parseEndpoint to a file of its own

The check of an upstream's address made the decoder depend on the HTTP client, so that the fuzz target parse_submission did not link (the step "fuzzing" of the whole check failed).

--- a/include/rattandock/adapters/http_client.hpp
+++ b/include/rattandock/adapters/http_client.hpp
@@ -1,9 +1,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <optional>
-#include <string>
-#include <string_view>
 
 #include "rattandock/adapters/http_message.hpp"
 #include "rattandock/base/result.hpp"
@@ -27,7 +24,4 @@
 HttpClientResult sendHttpRequest(const boost::asio::ip::tcp::endpoint &server,
                                  const HttpRequest &request, Duration limit);
 
-/// Reads `IP:PORT`; nothing if the text is anything else.
-std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
-
 } // namespace rattandock::adapters
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -11,7 +11,7 @@
   src/rattandock/base/finding.cpp
   src/rattandock/core/{home_token,job_outcome,placement_policy,reason}.cpp
   src/rattandock/adapters/{base64,job_json,json_document,json_object_reader,json_parse,settings}.cpp
-  src/rattandock/adapters/http_message.cpp
+  src/rattandock/adapters/{endpoint,http_message}.cpp
   src/rattandock/fleet/{fleet_action,submission}.cpp
   src/rattandock/app/{config_check,config_differences,config_finding,config_reading}.cpp
   src/rattandock/app/{config_report,configuration_json}.cpp
--- a/src/rattandock/app/control_test.cpp
+++ b/src/rattandock/app/control_test.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "detail/test_upstream.hpp"
-#include "rattandock/adapters/http_client.hpp"
+#include "rattandock/adapters/endpoint.hpp"
 #include "rattandock/app/daemon.hpp"
 #include "rattandock/app/exit_code.hpp"
 #include "rattandock/app/json_table.hpp"
--- a/src/rattandock/app/detail/control_request.cpp
+++ b/src/rattandock/app/detail/control_request.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "rattandock/adapters/endpoint.hpp"
 #include "rattandock/adapters/http_client.hpp"
 
 namespace rattandock::app {
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <utility>
 
-#include "rattandock/adapters/http_client.hpp"
+#include "rattandock/adapters/endpoint.hpp"
 #include "rattandock/adapters/http_server.hpp"
 #include "rattandock/adapters/log.hpp"
 #include "rattandock/adapters/peer_streams.hpp"
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
-#include "rattandock/adapters/http_client.hpp"
+#include "rattandock/adapters/endpoint.hpp"
 #include "rattandock/base/overloaded.hpp"
 
 namespace rattandock::app {
