Estimate the speed of an upstream from a hundred runs

Cause: the factor of an upstream was an average with the weight of about ten runs, each of which differs by 40% from its prediction. In the logs, the factors of one upstream vary by 7 to 18% around a mean that is 0.78, 0.97 or 1.22. The least of the factors of some 180 linked upstreams is therefore near 0.6, a speed that no upstream has, and tasks wait for it at their own VM and at the receivers of offers.

Change: an average over about a hundred runs, which the last ten replace if they differ by a factor of 1.43, so that an upstream that turns slow is noticed within five runs.

--- a/include/rattandock/fleet/run_times.hpp
+++ b/include/rattandock/fleet/run_times.hpp
@@ -14,7 +14,8 @@
 ///
 /// Load pattern: upstreams differ in speed by a factor of two and more, some become slow, and
 /// estimates are too high or too low by half. The averages are taken of logarithms, so that one
-/// long run does not outweigh many short ones. A new upstream starts with the average of its kind.
+/// long run does not outweigh many short ones, and over about a hundred runs, unless the last ten
+/// show that an upstream has changed its speed. A new upstream starts with the average of its kind.
 /// Thread safety: none.
 class RunTimes
 {
@@ -43,7 +44,14 @@
         void add(double value, double weight);
     };
 
-    std::unordered_map<UpstreamId, Mean> m_upstreams;
+    struct Upstream
+    {
+        Mean all;
+        /// Of the last runs.
+        Mean recent;
+    };
+
+    std::unordered_map<UpstreamId, Upstream> m_upstreams;
     std::map<std::string, Mean> m_kinds;
     Mean m_all;
 };
--- a/src/rattandock/fleet/decisions_test.cpp
+++ b/src/rattandock/fleet/decisions_test.cpp
@@ -1,5 +1,6 @@
 // Tests the decision functions of the fleet layer with inputs taken from load patterns.
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 #include "rattandock/fleet/admission.hpp"
 #include "rattandock/fleet/link_choice.hpp"
@@ -223,6 +224,40 @@
     BOOST_TEST(times.factor(UpstreamId{"new"}, "a") > 0.6);
 }
 
+// Guards against an upstream that counts as the fastest because its last runs were short by chance:
+// long tasks wait for it and are offered to it, though others are as fast.
+BOOST_AUTO_TEST_CASE(takesNoUpstreamForFasterByChance)
+{
+    RunTimes times;
+    std::mt19937_64 random{1};
+    std::normal_distribution<double> logRatio{0, 0.4};
+    for (int n = 0; n < 400; ++n) {
+        for (int upstream = 0; upstream < 30; ++upstream) {
+            const double ratio = std::exp(logRatio(random));
+            times.addSample(UpstreamId{std::to_string(upstream)}, "a", 100ms,
+                            Duration{static_cast<Duration::rep>(100'000 * ratio)});
+        }
+        BOOST_TEST((n < 200 || times.fastestFactor() > 0.85));
+    }
+}
+
+// Guards against tasks that are started on an upstream for seconds after it has become slow.
+BOOST_AUTO_TEST_CASE(noticesAChangeOfSpeedWithinAFewRuns)
+{
+    RunTimes times;
+    const UpstreamId upstream{"u"};
+    const auto run = [&](int count, Duration elapsed) {
+        for (int n = 0; n < count; ++n) {
+            times.addSample(upstream, "a", 100ms, elapsed);
+        }
+    };
+    run(300, 100ms);
+    run(5, 400ms);
+    BOOST_TEST(times.factor(upstream, "a") > 1.5);
+    run(20, 100ms);
+    BOOST_TEST(times.factor(upstream, "a") < 1.3);
+}
+
 // Guards against links that only one end chooses, and against a number of links that grows with the
 // square of the number of VMs.
 BOOST_AUTO_TEST_CASE(choosesSymmetricLinksInTheZoneAndAFewToOtherZones)
--- a/src/rattandock/fleet/run_times.cpp
+++ b/src/rattandock/fleet/run_times.cpp
@@ -7,9 +7,14 @@
 
 namespace {
 
-/// Weight of a new sample in the average of one upstream. A change of its speed is reflected after
-/// about ten runs, which is one second under load.
-constexpr double upstreamWeight = 0.1;
+/// Weight of a new sample in the average of one upstream. Single runs differ by 40% from their
+/// prediction, so an average of ten is off by 12%, as much as half the step between two speeds.
+constexpr double upstreamWeight = 0.02;
+/// Weight of a new sample in the average that shows a change of speed within a few runs.
+constexpr double recentWeight = 0.1;
+/// Difference of the logarithms at which the recent runs replace the average: three standard
+/// deviations of the recent average.
+constexpr double changedSpeed = 0.36;
 /// Weight of a new sample in the average of a kind and in the overall average.
 constexpr double kindWeight = 0.02;
 /// Bound of the logarithm of one sample in both directions, which limits the effect of outliers.
@@ -40,12 +45,18 @@
     const auto [it, isNew] = m_upstreams.try_emplace(upstream);
     if (isNew) {
         // The average of the kind is the prior and counts as a few samples.
-        constexpr double priorSamples = 4;
+        constexpr double priorSamples = 2;
         if (const auto known = m_kinds.find(kind); known != m_kinds.end()) {
-            it->second = {known->second.logFactor, priorSamples};
+            it->second.all = {known->second.logFactor, priorSamples};
+            it->second.recent = it->second.all;
         }
     }
-    it->second.add(sample, upstreamWeight);
+    Upstream &mean = it->second;
+    mean.all.add(sample, upstreamWeight);
+    mean.recent.add(sample, recentWeight);
+    if (std::abs(mean.recent.logFactor - mean.all.logFactor) > changedSpeed) {
+        mean.all = {mean.recent.logFactor, std::min(mean.all.samples, minReliableSamples)};
+    }
     m_kinds[kind].add(sample, kindWeight);
     m_all.add(sample, kindWeight);
 }
@@ -53,7 +64,7 @@
 double RunTimes::factor(const UpstreamId &upstream, const std::string &kind) const
 {
     if (const auto it = m_upstreams.find(upstream); it != m_upstreams.end()) {
-        return std::exp(it->second.logFactor);
+        return std::exp(it->second.all.logFactor);
     }
     if (const auto it = m_kinds.find(kind); it != m_kinds.end()) {
         return std::exp(it->second.logFactor);
@@ -72,8 +83,8 @@
 {
     double fastest = m_all.logFactor;
     for (const auto &[upstream, mean] : m_upstreams) {
-        if (mean.samples >= minReliableSamples) {
-            fastest = std::min(fastest, mean.logFactor);
+        if (mean.all.samples >= minReliableSamples) {
+            fastest = std::min(fastest, mean.all.logFactor);
         }
     }
     return std::exp(fastest);
