Offer long tasks to faster free upstreams of other VMs

A VM keeps about ten upstreams, three of them fast, and a job of the largest tenth has six tasks.

Cause: a task started on the best upstream of its own VM, or went to any peer with useful room if there was none here; no decision compared the two, and peers were weighed by their room alone.

Change: before a task starts here, its chance to end before the deadline is compared with that on the fastest free upstream that a peer has reported; it is offered there if that gains more than 0.05, once. Offers go only to upstreams within 0.05 of the best chance. At the own VM the tolerance for a slower upstream falls from 0.02 to 0.002, as estimates of the largest jobs are mostly too low.

Tests that fail on the former code: FleetOffersTest/offersLongTasksToAFasterUpstreamOfAnotherVm and startsALongTaskHereOnceItWasReturned, PlacementTest/prefersTheFasterUpstreamForASmallGain.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -128,6 +128,8 @@
         Duration expected{};
         TimePoint startedAt;
         bool isOverdue = false;
+        /// True once another VM has returned the task unstarted.
+        bool wasReturned = false;
         /// True if the upstream was cold or limited when the latest run was started.
         bool isColdRun = false;
         /// Earliest time of the next start. A former run may still execute until then, or the
@@ -367,9 +369,14 @@
     /// before this one.
     void dispatchJob(JobNumber number, Job &job, bool canStartHere, Duration ownWait, TimePoint now,
                      FleetActions &actions);
-    /// Starts one task on a kept upstream. Returns false if no upstream is suitable.
-    bool startOnKeptUpstream(JobNumber number, Job &job, std::size_t index, TimePoint now,
-                             FleetActions &actions);
+    /// Returns the kept upstreams on which a task of the job fits now.
+    std::vector<PlacementCandidate> placementCandidates(JobNumber number, const Job &job,
+                                                        TimePoint now,
+                                                        std::vector<KeptUpstream *> &kept);
+    /// Starts one task on a kept upstream, or offers it if `mayOfferTasks` is set and another VM
+    /// has a faster one. Returns false if no upstream is suitable.
+    bool startOnKeptUpstream(JobNumber number, Job &job, std::size_t index, bool mayOfferTasks,
+                             TimePoint now, FleetActions &actions);
     /// Predicts the job's run time and adjusts its objective to the prediction.
     void predictRunTime(FleetJob &job) const;
     /// Returns the limits for placing a task of the job.
@@ -396,6 +403,17 @@
     /// queue.
     void offerWaitingTasks(JobNumber number, Job &job, Duration ownWait, TimePoint now,
                            FleetActions &actions);
+    /// Returns the limits for placing a task of the job at another VM.
+    PlacementLimits offerLimitsOf(const Job &job, TimePoint now) const;
+    /// Offers waiting tasks to a VM with faster free upstreams than the candidates, if that gives
+    /// them a clearly better chance to end before the deadline.
+    void offerToFasterUpstream(JobNumber number, Job &job,
+                               const std::vector<PlacementCandidate> &candidates, TimePoint now,
+                               FleetActions &actions);
+    /// Returns the indices of up to `count` waiting tasks that may be offered. `isFirstOffer`: only
+    /// of those that no other VM has returned.
+    static std::vector<std::uint32_t> offerableTasks(const Job &job, std::size_t count,
+                                                     bool isFirstOffer, TimePoint now);
     /// Sends one offer of the tasks at `indices`. `startWithin` is set if they may wait in the
     /// receiver's queue.
     void sendOffer(JobNumber number, Job &job, const VmId &vm, std::vector<std::uint32_t> indices,
--- a/include/rattandock/fleet/placement.hpp
+++ b/include/rattandock/fleet/placement.hpp
@@ -32,6 +32,8 @@
     double runTimeSpread = 0.4;
     /// How long the task may wait for a faster upstream; 0 if it starts on the best free one.
     Duration waitForFaster{};
+    /// Expected run time on the fastest upstream with free room at another VM; 0 if there is none.
+    Duration runTimeElsewhere{};
 };
 
 /// Returns the probability that a run ends within `time`. Run times are taken as log-normal around
@@ -39,9 +41,16 @@
 double chanceToEndWithin(Duration expected, Duration time, double runTimeSpread);
 
 /// Returns the longest expected run time, at least `limits.fastestRunTime`, with which an upstream
-/// is useful for the task. Thread safety: any thread.
+/// is useful for the task. If `limits.runTimeElsewhere` is set, upstreams of other VMs with a
+/// clearly smaller chance than that one are not. Thread safety: any thread.
 Duration maxUsefulRunTime(const PlacementLimits &limits);
 
+/// Returns true if an offer to another VM gives the task a clearly better chance to end before the
+/// deadline than a start on the best of the candidates. False without candidates. Thread safety:
+/// any thread.
+bool isBetterElsewhere(const std::vector<PlacementCandidate> &candidates,
+                       const PlacementLimits &limits);
+
 /// Returns true if no run has a reasonable chance to end before the deadline, not even on the
 /// fastest upstream. Thread safety: any thread.
 bool isHopeless(const PlacementLimits &limits);
--- a/include/rattandock/fleet/sharing.hpp
+++ b/include/rattandock/fleet/sharing.hpp
@@ -48,6 +48,9 @@
 
     /// Returns the least time percent of all upstreams of the peers, or 0 if there are none.
     std::uint32_t fastestPercent() const;
+    /// Returns the least time percent of the peers' upstreams on which a task of this size fits
+    /// now, or `std::nullopt` if there is none.
+    std::optional<std::uint32_t> fastestFreePercent(MilliCores cpu) const;
     /// Returns how many tasks of this size fit on peers now, counting only upstreams whose time
     /// percent is at most `maxPercent`.
     std::size_t countFittingTasks(MilliCores cpu, std::uint32_t maxPercent) const;
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -84,7 +84,8 @@
                                         FleetActions &actions)
 {
     const TimePoint lastReturn = lastReturnOf(job);
-    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job.spec, placementLimitsOf(job, now));
+    const PlacementLimits limits = offerLimitsOf(job, now);
+    const std::uint32_t maxPercent = maxUsefulRunTimePercent(job.spec, limits);
     for (std::size_t n = 0; n < maxOffersPerEvent && job.waiting > 0 && now < lastReturn; ++n) {
         const std::uint64_t seed = offerSeed(m_options.vm, job.spec.id, m_nextOffer);
         std::optional<Duration> startWithin;
@@ -109,14 +110,7 @@
         if (!share) {
             return;
         }
-        std::vector<std::uint32_t> indices;
-        for (std::uint32_t it = 0; it < job.tasks.size() && indices.size() < share->tasks; ++it) {
-            const Task &task = job.tasks[it];
-            // The crashes of a task are counted here, so another VM would start it too often.
-            if (task.state == TaskState::Waiting && task.notBefore <= now && task.crashes == 0) {
-                indices.push_back(it);
-            }
-        }
+        std::vector<std::uint32_t> indices = offerableTasks(job, share->tasks, false, now);
         if (indices.empty()) {
             return;
         }
@@ -124,6 +118,54 @@
     }
 }
 
+PlacementLimits FleetDispatcher::offerLimitsOf(const Job &job, TimePoint now) const
+{
+    PlacementLimits limits = placementLimitsOf(job, now);
+    if (const auto percent = m_sharedRoom.fastestFreePercent(job.spec.need.cpu)) {
+        limits.runTimeElsewhere = scaled(predictedRun(job.spec), *percent / 100.0);
+    }
+    return limits;
+}
+
+void FleetDispatcher::offerToFasterUpstream(JobNumber number, Job &job,
+                                            const std::vector<PlacementCandidate> &candidates,
+                                            TimePoint now, FleetActions &actions)
+{
+    // Most tasks are so short that not even the fastest upstream of the fleet would help.
+    PlacementLimits limits = placementLimitsOf(job, now);
+    limits.runTimeElsewhere = limits.fastestRunTime;
+    if (now >= lastReturnOf(job) || !isBetterElsewhere(candidates, limits)) {
+        return;
+    }
+    limits = offerLimitsOf(job, now);
+    std::vector<std::uint32_t> indices = offerableTasks(job, job.waiting, true, now);
+    if (indices.empty() || !isBetterElsewhere(candidates, limits)) {
+        return;
+    }
+    const std::uint64_t seed = offerSeed(m_options.vm, job.spec.id, m_nextOffer);
+    const auto share = m_sharedRoom.reserve(job.spec.need.cpu, indices.size(),
+                                            maxUsefulRunTimePercent(job.spec, limits), seed);
+    if (share) {
+        indices.resize(share->tasks);
+        sendOffer(number, job, share->vm, std::move(indices), std::nullopt, now, actions);
+    }
+}
+
+std::vector<std::uint32_t> FleetDispatcher::offerableTasks(const Job &job, std::size_t count,
+                                                           bool isFirstOffer, TimePoint now)
+{
+    std::vector<std::uint32_t> indices;
+    for (std::uint32_t it = 0; it < job.tasks.size() && indices.size() < count; ++it) {
+        const Task &task = job.tasks[it];
+        // The crashes of a task are counted here, so another VM would start it too often.
+        if (task.state == TaskState::Waiting && task.notBefore <= now && task.crashes == 0
+            && !(isFirstOffer && task.wasReturned)) {
+            indices.push_back(it);
+        }
+    }
+    return indices;
+}
+
 void FleetDispatcher::sendOffer(JobNumber number, Job &job, const VmId &vm,
                                 std::vector<std::uint32_t> indices,
                                 std::optional<Duration> startWithin, TimePoint now,
@@ -247,6 +289,7 @@
         for (const std::uint32_t index : offer.tasks) {
             ++job.tasks[index].nextRun;
             ++job.tasks[index].unusedRuns;
+            job.tasks[index].wasReturned = true;
             requeueTask(job, job.tasks[index], now);
         }
         actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferEnded, "not-run", job.spec.id,
@@ -277,6 +320,7 @@
         ++count;
         Task &task = job.tasks[index];
         task.nextRun = std::max(task.nextRun, event.returned.nextRun);
+        task.wasReturned = true;
         requeueTask(job, task, now);
         return true;
     });
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -78,24 +78,26 @@
 void FleetDispatcher::dispatchJob(JobNumber number, Job &job, bool canStartHere, Duration ownWait,
                                   TimePoint now, FleetActions &actions)
 {
+    // A job of another VM is never offered on.
+    const bool mayOfferTasks =
+            std::holds_alternative<CallerRequestId>(job.origin) && mayOffer(job, now);
     for (std::size_t n = 0; canStartHere && n < job.tasks.size(); ++n) {
         const Task &task = job.tasks[n];
         if (task.state == TaskState::Waiting && task.notBefore <= now
-            && !startOnKeptUpstream(number, job, n, now, actions)) {
+            && !startOnKeptUpstream(number, job, n, mayOfferTasks, now, actions)) {
             break;
         }
     }
-    if (job.waiting > 0 && mayOffer(job, now)
-        && std::holds_alternative<CallerRequestId>(job.origin)) {
+    if (job.waiting > 0 && mayOfferTasks) {
         offerWaitingTasks(number, job, ownWait, now, actions);
     }
 }
 
-bool FleetDispatcher::startOnKeptUpstream(JobNumber number, Job &job, std::size_t index,
-                                          TimePoint now, FleetActions &actions)
+std::vector<PlacementCandidate>
+FleetDispatcher::placementCandidates(JobNumber number, const Job &job, TimePoint now,
+                                     std::vector<KeptUpstream *> &kept)
 {
     std::vector<PlacementCandidate> candidates;
-    std::vector<KeptUpstream *> kept;
     for (auto &[id, it] : m_keptUpstreams) {
         const UpstreamEntry &entry = it.ledger.entry();
         if (entry.service != job.spec.service || !mayPlaceOn(it, now)) {
@@ -116,7 +118,21 @@
         candidates.push_back({kept.size(), room.minus(job.spec.need).cpu.value(), expected});
         kept.push_back(&it);
     }
+    return candidates;
+}
+
+bool FleetDispatcher::startOnKeptUpstream(JobNumber number, Job &job, std::size_t index,
+                                          bool mayOfferTasks, TimePoint now, FleetActions &actions)
+{
+    std::vector<KeptUpstream *> kept;
+    std::vector<PlacementCandidate> candidates = placementCandidates(number, job, now, kept);
     Task &task = job.tasks[index];
+    if (mayOfferTasks && !task.wasReturned) {
+        offerToFasterUpstream(number, job, candidates, now, actions);
+        if (task.state == TaskState::Offered) {
+            return true;
+        }
+    }
     const bool isSuspect = task.suspectedCrashes > 0;
     if (isSuspect) {
         isolate(candidates, kept);
--- a/src/rattandock/fleet/fleet_offers_test.cpp
+++ b/src/rattandock/fleet/fleet_offers_test.cpp
@@ -103,10 +103,14 @@
     void report(const VmId &vm, std::vector<FreeCapacity> free, std::uint64_t queuedWork = 0,
                 std::uint64_t revision = fleetRevision)
     {
+        std::uint32_t fastest = 100;
+        for (const FreeCapacity &it : free) {
+            fastest = std::min(fastest, it.runTimePercent);
+        }
         send(PeerCapacityReported{vm,
                                   zone,
                                   false,
-                                  {std::move(free), 100, 640'000, queuedWork},
+                                  {std::move(free), fastest, 640'000, queuedWork},
                                   std::nullopt,
                                   revision});
     }
@@ -685,6 +689,37 @@
     BOOST_TEST(!std::holds_alternative<JobTurnedAway>(*end));
 }
 
+// Guards against a long task that starts on a slow upstream of its VM, where it probably ends too
+// late, while a faster one is free at another VM.
+BOOST_AUTO_TEST_CASE(offersLongTasksToAFasterUpstreamOfAnotherVm)
+{
+    report(b, {{64'000, 85}, {64'000, 85}});
+    submit(2, job("short", 1, 100ms));
+    step();
+    BOOST_TEST(starts.size() == 1);
+    submit(3, job("long", 2, 1000ms));
+    step();
+    BOOST_TEST(starts.size() == 1);
+    const auto offers = taken<TaskOffer>();
+    BOOST_REQUIRE(offers.size() == 1);
+    BOOST_TEST(offers[0].first == b);
+    BOOST_TEST(offers[0].second.tasks.size() == 2);
+}
+
+// Guards against a long task that passes from VM to VM while it could run here.
+BOOST_AUTO_TEST_CASE(startsALongTaskHereOnceItWasReturned)
+{
+    report(b, {{64'000, 85}});
+    report(c, {{64'000, 85}});
+    submit(2, job("long", 1, 1000ms));
+    const auto offers = taken<TaskOffer>();
+    BOOST_REQUIRE(offers.size() == 1);
+    send(OfferEnded{offers[0].first, {offers[0].second.number, OfferResult::NotRun}});
+    step();
+    BOOST_TEST(taken<TaskOffer>().empty());
+    BOOST_TEST(starts.size() == 1);
+}
+
 // Guards against a job whose log lines don't tell where its tasks were: of 143 jobs that were
 // broken off, 61 had lost theirs with an offer that another VM gave up.
 BOOST_AUTO_TEST_CASE(logsWhichVmGaveUpTheTasksOfAJob)
--- a/src/rattandock/fleet/placement.cpp
+++ b/src/rattandock/fleet/placement.cpp
@@ -12,10 +12,18 @@
 constexpr double speedClassFactor = 1.25;
 /// A slower upstream is preferred if it lowers the chance to end before the deadline by at most
 /// this.
-constexpr double chanceTolerance = 0.02;
+constexpr double chanceTolerance = 0.002;
 /// A task waits for a faster upstream only if that raises the chance by more than this, even if the
 /// wait takes as long as it may.
 constexpr double minChanceGain = 0.05;
+/// A task is offered to another VM, although there is room here, only if that raises the chance by
+/// more than this.
+constexpr double minChanceGainElsewhere = 0.05;
+/// Of the free upstreams of other VMs, those are used whose chance is lower than the best one by at
+/// most this.
+constexpr double elsewhereTolerance = 0.05;
+/// Time that an offer which comes back unused costs.
+constexpr Duration offerRoundTrip = std::chrono::milliseconds{15};
 /// A run with a smaller chance to end before the deadline is not started: it would mostly take room
 /// from others in vain.
 constexpr double minChance = 0.2;
@@ -43,6 +51,16 @@
     return std::max(afterWait - minChanceGain, minChance);
 }
 
+/// Returns the chance to end before the deadline after an offer to the VM with the fastest free
+/// upstream, 0 if there is none.
+double chanceElsewhere(const PlacementLimits &limits)
+{
+    return limits.runTimeElsewhere <= Duration{}
+                   ? 0
+                   : chanceToEndWithin(limits.runTimeElsewhere,
+                                       limits.untilDeadline - offerRoundTrip, limits.runTimeSpread);
+}
+
 } // namespace
 
 double chanceToEndWithin(Duration expected, Duration time, double runTimeSpread)
@@ -57,7 +75,8 @@
 
 Duration maxUsefulRunTime(const PlacementLimits &limits)
 {
-    const double least = leastChance(limits);
+    const double least =
+            std::max(leastChance(limits), chanceElsewhere(limits) - elsewhereTolerance);
     // The chance falls with the run time, so a bisection finds the longest one.
     Duration useful = limits.fastestRunTime;
     Duration useless = 2 * std::max(limits.untilDeadline, limits.fastestRunTime);
@@ -69,6 +88,17 @@
     return useful;
 }
 
+bool isBetterElsewhere(const std::vector<PlacementCandidate> &candidates,
+                       const PlacementLimits &limits)
+{
+    if (candidates.empty()) {
+        return false;
+    }
+    const Duration here =
+            std::ranges::min_element(candidates, {}, &PlacementCandidate::expected)->expected;
+    return chanceElsewhere(limits) > chanceOf(here, limits) + minChanceGainElsewhere;
+}
+
 bool isHopeless(const PlacementLimits &limits)
 {
     return chanceToEndWithin(limits.fastestRunTime, limits.untilDeadline, limits.runTimeSpread)
--- a/src/rattandock/fleet/placement_test.cpp
+++ b/src/rattandock/fleet/placement_test.cpp
@@ -63,4 +63,28 @@
     }
 }
 
+// Guards against a long task with too low an estimate on a slow upstream while a faster one is
+// free: with 600 ms expected there, one in eighty ends too late, and half as many on the faster
+// one.
+BOOST_AUTO_TEST_CASE(prefersTheFasterUpstreamForASmallGain)
+{
+    const std::vector<PlacementCandidate> candidates{{0, 8'000, 600ms}, {1, 8'000, 480ms}};
+    BOOST_TEST(choosePlacement(candidates, {1000ms, 1480ms, 480ms, 0.4}).value() == 1);
+}
+
+// Guards against offers to other VMs that gain less than they cost.
+BOOST_AUTO_TEST_CASE(prefersAnotherVmOnlyForAClearGain)
+{
+    PlacementLimits limits{1400ms, 1480ms, 630ms, 0.4};
+    const std::vector<PlacementCandidate> here{{0, 8'000, 900ms}};
+    BOOST_TEST(!isBetterElsewhere(here, limits));
+    limits.runTimeElsewhere = 630ms;
+    BOOST_TEST(isBetterElsewhere(here, limits));
+    BOOST_TEST(!isBetterElsewhere({{0, 8'000, 900ms}, {1, 8'000, 640ms}}, limits));
+    // Without room here, the task is offered in any case.
+    BOOST_TEST(!isBetterElsewhere({}, limits));
+    limits = {200ms, 1480ms, 120ms, 0.4, {}, 120ms};
+    BOOST_TEST(!isBetterElsewhere({{0, 8'000, 180ms}}, limits));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/sharing.cpp
+++ b/src/rattandock/fleet/sharing.cpp
@@ -117,6 +117,22 @@
     return fastest;
 }
 
+std::optional<std::uint32_t> PeerRoom::fastestFreePercent(MilliCores cpu) const
+{
+    std::optional<std::uint32_t> fastest;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.largestFree < cpu.value()) {
+            continue;
+        }
+        for (const FreeCapacity &it : peer.room.free) {
+            if (it.cpu >= cpu.value() && (!fastest || it.runTimePercent < *fastest)) {
+                fastest = it.runTimePercent;
+            }
+        }
+    }
+    return fastest;
+}
+
 std::size_t PeerRoom::countFittingTasks(MilliCores cpu, std::uint32_t maxPercent) const
 {
     std::size_t count = 0;
