Log offers to faster upstreams by their own reason

The line tasks-offered said no-room-here for tasks that had room here but a faster upstream elsewhere, which would mislead operators who look for a lack of room. startOnKeptUpstream is named startOrOfferTask, as it does both. FleetOffersTest/offersLongTasksToAFasterUpstreamOfAnotherVm checks the reason.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -375,8 +375,8 @@
                                                         std::vector<KeptUpstream *> &kept);
     /// Starts one task on a kept upstream, or offers it if `mayOfferTasks` is set and another VM
     /// has a faster one. Returns false if no upstream is suitable.
-    bool startOnKeptUpstream(JobNumber number, Job &job, std::size_t index, bool mayOfferTasks,
-                             TimePoint now, FleetActions &actions);
+    bool startOrOfferTask(JobNumber number, Job &job, std::size_t index, bool mayOfferTasks,
+                          TimePoint now, FleetActions &actions);
     /// Predicts the job's run time and adjusts its objective to the prediction.
     void predictRunTime(FleetJob &job) const;
     /// Returns the limits for placing a task of the job.
@@ -410,14 +410,15 @@
     void offerToFasterUpstream(JobNumber number, Job &job,
                                const std::vector<PlacementCandidate> &candidates, TimePoint now,
                                FleetActions &actions);
-    /// Returns the indices of up to `count` waiting tasks that may be offered. `isFirstOffer`: only
-    /// of those that no other VM has returned.
+    /// Returns the indices of up to `count` waiting tasks that may be offered. `skipReturned`: none
+    /// that another VM has returned.
     static std::vector<std::uint32_t> offerableTasks(const Job &job, std::size_t count,
-                                                     bool isFirstOffer, TimePoint now);
-    /// Sends one offer of the tasks at `indices`. `startWithin` is set if they may wait in the
-    /// receiver's queue.
+                                                     bool skipReturned, TimePoint now);
+    /// Sends one offer of the tasks at `indices`. `reason` goes to the log. `startWithin` is set if
+    /// they may wait in the receiver's queue.
     void sendOffer(JobNumber number, Job &job, const VmId &vm, std::vector<std::uint32_t> indices,
-                   std::optional<Duration> startWithin, TimePoint now, FleetActions &actions);
+                   std::optional<Duration> startWithin, std::string_view reason, TimePoint now,
+                   FleetActions &actions);
     /// Returns the time until which tasks can be offered or started elsewhere, so that a job none
     /// of whose tasks was started can still be refused truthfully.
     TimePoint lastReturnOf(const Job &job) const;
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -114,7 +114,8 @@
         if (indices.empty()) {
             return;
         }
-        sendOffer(number, job, share->vm, std::move(indices), startWithin, now, actions);
+        sendOffer(number, job, share->vm, std::move(indices), startWithin,
+                  startWithin ? "shorter-queue" : "no-room-here", now, actions);
     }
 }
 
@@ -147,19 +148,20 @@
                                             maxUsefulRunTimePercent(job.spec, limits), seed);
     if (share) {
         indices.resize(share->tasks);
-        sendOffer(number, job, share->vm, std::move(indices), std::nullopt, now, actions);
+        sendOffer(number, job, share->vm, std::move(indices), std::nullopt, "faster-upstream", now,
+                  actions);
     }
 }
 
 std::vector<std::uint32_t> FleetDispatcher::offerableTasks(const Job &job, std::size_t count,
-                                                           bool isFirstOffer, TimePoint now)
+                                                           bool skipReturned, TimePoint now)
 {
     std::vector<std::uint32_t> indices;
     for (std::uint32_t it = 0; it < job.tasks.size() && indices.size() < count; ++it) {
         const Task &task = job.tasks[it];
         // The crashes of a task are counted here, so another VM would start it too often.
         if (task.state == TaskState::Waiting && task.notBefore <= now && task.crashes == 0
-            && !(isFirstOffer && task.wasReturned)) {
+            && !(skipReturned && task.wasReturned)) {
             indices.push_back(it);
         }
     }
@@ -168,8 +170,8 @@
 
 void FleetDispatcher::sendOffer(JobNumber number, Job &job, const VmId &vm,
                                 std::vector<std::uint32_t> indices,
-                                std::optional<Duration> startWithin, TimePoint now,
-                                FleetActions &actions)
+                                std::optional<Duration> startWithin, std::string_view reason,
+                                TimePoint now, FleetActions &actions)
 {
     TaskOffer offer{m_nextOffer++, job.spec, {}, 1};
     // Adds the answer margin, as the receiver subtracts it again and would otherwise abort the job
@@ -184,8 +186,7 @@
     }
     job.waiting -= indices.size();
     ++job.openOffers;
-    actions.emplace_back(FleetLogRecord{FleetLogRecordKind::TasksOffered,
-                                        startWithin ? "shorter-queue" : "no-room-here", job.spec.id,
+    actions.emplace_back(FleetLogRecord{FleetLogRecordKind::TasksOffered, reason, job.spec.id,
                                         vm.value() + ", tasks " + std::to_string(indices.size())});
     m_offers[offer.number] = Offer{vm, number, std::move(indices), offer.firstRun};
     if (startWithin) {
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -84,7 +84,7 @@
     for (std::size_t n = 0; canStartHere && n < job.tasks.size(); ++n) {
         const Task &task = job.tasks[n];
         if (task.state == TaskState::Waiting && task.notBefore <= now
-            && !startOnKeptUpstream(number, job, n, mayOfferTasks, now, actions)) {
+            && !startOrOfferTask(number, job, n, mayOfferTasks, now, actions)) {
             break;
         }
     }
@@ -121,8 +121,8 @@
     return candidates;
 }
 
-bool FleetDispatcher::startOnKeptUpstream(JobNumber number, Job &job, std::size_t index,
-                                          bool mayOfferTasks, TimePoint now, FleetActions &actions)
+bool FleetDispatcher::startOrOfferTask(JobNumber number, Job &job, std::size_t index,
+                                       bool mayOfferTasks, TimePoint now, FleetActions &actions)
 {
     std::vector<KeptUpstream *> kept;
     std::vector<PlacementCandidate> candidates = placementCandidates(number, job, now, kept);
--- a/src/rattandock/fleet/fleet_offers_test.cpp
+++ b/src/rattandock/fleet/fleet_offers_test.cpp
@@ -704,6 +704,12 @@
     BOOST_REQUIRE(offers.size() == 1);
     BOOST_TEST(offers[0].first == b);
     BOOST_TEST(offers[0].second.tasks.size() == 2);
+    // The log must not blame a lack of room.
+    BOOST_TEST(std::ranges::any_of(recorded, [](const FleetAction &it) {
+        const auto *const record = std::get_if<FleetLogRecord>(&it);
+        return record != nullptr && record->kind == FleetLogRecordKind::TasksOffered
+               && record->reason == "faster-upstream";
+    }));
 }
 
 // Guards against a long task that passes from VM to VM while it could run here.
