--- /dev/null
+++ b/src/rattandock/fleet/fleet_replay_test.cpp
@@ -0,0 +1,65 @@
+// Replays the load of a fleet of 38 VMs on their dispatchers.
+#include "fleet_replay_test.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <iostream>
+
+using namespace rattandock;
+using namespace rattandock::fleet;
+using namespace rattandock::fleet::fleet_replay;
+
+namespace {
+
+double setting(const char *name, double otherwise)
+{
+    const char *const text = std::getenv(name);
+    return text == nullptr ? otherwise : std::stod(text);
+}
+
+void print(const char *name, const Result &result)
+{
+    std::cout << name;
+    for (const QueueResult &it : result.queues) {
+        std::cout << "  " << it.share() << " largest " << it.largeShare();
+    }
+    const QueueResult &large = result.queues[longQueue];
+    std::cout << "  last start " << large.largeLastStart / large.largeJobs << " ms, on fast "
+              << large.largeOnFast / large.largeJobs << ", broken off " << large.brokenOff
+              << ", offers " << result.offers << " in vain " << result.offersInVain << " messages "
+              << result.messages << std::endl;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetReplayTest)
+
+// Compares what VMs learn of each other, for an analysis by hand. The rate, the share of lost
+// upstreams, the burst, the callers' time and the seeds are set by the environment.
+BOOST_AUTO_TEST_CASE(comparesPeerStates, *boost::unit_test::disabled())
+{
+    Options options;
+    options.perSecond = setting("REPLAY_RATE", 743);
+    options.lostShare = setting("REPLAY_LOST", 0.3);
+    options.hangingShare = setting("REPLAY_HANGING", 0);
+    options.burst = setting("REPLAY_BURST", 1.3);
+    options.deadline = rattandock::Duration{
+            static_cast<rattandock::Duration::rep>(1000 * setting("REPLAY_DEADLINE_MS", 1500))};
+    const auto seeds = static_cast<std::uint64_t>(setting("REPLAY_SEEDS", 2));
+    const auto states = static_cast<int>(setting("REPLAY_STATES", 7));
+    const std::array<std::pair<PeerState, const char *>, 3> all{
+            {{PeerState::True, "true"}, {PeerState::Late, "late"}, {PeerState::None, "none"}}};
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        if ((states >> n & 1) == 0) {
+            continue;
+        }
+        Result sum;
+        options.peerState = all.at(n).first;
+        for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+            sum.add(FleetReplay{options}.run());
+        }
+        print(all.at(n).second, sum);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
