--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -210,7 +210,7 @@
     /// Last reading of the upstream's clock and the local time of its arrival. The reading is
     /// behind the upstream's clock by the network delay, never ahead of it.
     std::optional<std::pair<UpstreamTime, TimePoint>> m_clock;
-    /// Local end of the last lease that was sent.
+    /// Local end of the longest lease that was sent. Upstreams never shorten a lease.
     TimePoint m_leaseEnd = TimePoint::min();
     std::optional<Poll> m_openPoll;
     std::uint64_t m_nextPollNumber = 1;
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -53,7 +53,7 @@
 {
     m_runs.emplace(Key{name, number}, Run{task, need, State::Starting, token(), now, {}, {}});
     m_reservedRoom = m_reservedRoom.plus(need);
-    m_leaseEnd = now + m_times.lease;
+    m_leaseEnd = std::max(m_leaseEnd, now + m_times.lease);
 }
 
 void UpstreamLedger::startAnswered(const RunName &name, RunNumber number, OrderResult result,
@@ -365,7 +365,7 @@
     // would move the time at which the runs are considered ended.
     if (needsLease && m_clock && m_failures == 0) {
         order.leaseUntil = leaseUntil(now);
-        m_leaseEnd = now + m_times.lease;
+        m_leaseEnd = std::max(m_leaseEnd, now + m_times.lease);
     }
     const bool mustAcknowledge = m_acknowledgedByUpstream < m_acknowledged;
     const bool awaitsUnknownRuns = !m_unknownRuns.empty() && !mustAcknowledge;
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -296,6 +296,24 @@
     BOOST_TEST(lastPoll().acknowledged.value() == 0);
 }
 
+// Guards against two runs of one task at a time: an order whose lease was computed for the clock of
+// a former process got the longest lease, and a later start shortened what the ledger had noted.
+BOOST_AUTO_TEST_CASE(keepsTheLongestLeaseThatAnOrderMayHaveGot)
+{
+    start(0);
+    ledger.startAnswered(name(0), RunNumber{1}, OrderResult::Done, UpstreamTime{1ms}, now, out);
+    const TimePoint longestLeaseEnd = now + LeaseTimes{}.maxLease;
+    now += 100ms;
+    start(1);
+    ledger.step(now, out);
+    while (all<RunEnded>().empty() && now < longestLeaseEnd + 2s) {
+        now += 10ms;
+        ledger.step(now, out);
+    }
+    BOOST_REQUIRE(!all<RunEnded>().empty());
+    BOOST_TEST((now >= longestLeaseEnd));
+}
+
 // Guards against a lost stop order that leaves a task running after its caller has disconnected.
 BOOST_AUTO_TEST_CASE(repeatsAStopThatDidNotTakeEffect)
 {
