--- a/include/rattandock/fleet/sharing.hpp
+++ b/include/rattandock/fleet/sharing.hpp
@@ -17,6 +17,10 @@
 /// run for the same input and differs between VMs. Thread safety: any thread.
 std::uint64_t offerSeed(const VmId &self, const JobId &job, std::uint64_t offer);
 
+/// Limits the upstreams in a heartbeat to 8: the 4 with the most free CPU, and the fastest of the
+/// others, which long tasks need. Thread safety: any thread.
+void limitReportedUpstreams(std::vector<FreeCapacity> &free);
+
 /// Free capacity of other VMs: their last reports, minus the tasks offered to them since.
 ///
 /// Load pattern: the platform distributes connections unevenly, and jobs of up to 32 tasks arrive
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -21,10 +21,6 @@
            || std::holds_alternative<PeerLinkChanged>(event)
            || std::holds_alternative<PeerCapacityReported>(event);
 }
-/// Maximum number of upstreams with free capacity in a heartbeat, the ones with most of it. A VM
-/// sends up to 100 heartbeats a second over all links, and 8 B for each upstream in each of them;
-/// receivers fill less than this before the next heartbeat.
-constexpr std::size_t maxReportedUpstreams = 8;
 
 } // namespace
 
@@ -124,13 +120,7 @@
             report.free.push_back({free, percent});
         }
     }
-    // Bounds the size of the heartbeat. Fast upstreams come first among those with equal room.
-    std::ranges::sort(report.free, [](const FreeCapacity &a, const FreeCapacity &b) {
-        return a.cpu != b.cpu ? a.cpu > b.cpu : a.runTimePercent < b.runTimePercent;
-    });
-    if (report.free.size() > maxReportedUpstreams) {
-        report.free.resize(maxReportedUpstreams);
-    }
+    limitReportedUpstreams(report.free);
     report.queuedWork = static_cast<std::uint64_t>(queuedWork(TimePoint::max()));
     return report;
 }
--- a/src/rattandock/fleet/sharing.cpp
+++ b/src/rattandock/fleet/sharing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <string_view>
+#include <tuple>
 
 namespace rattandock::fleet {
 
@@ -27,6 +28,12 @@
 /// overflow.
 constexpr double maxQueueWeight = 1e6;
 
+/// Maximum number of upstreams with free capacity in a heartbeat. A VM sends up to 100 heartbeats a
+/// second over all links, and 8 B for each upstream in each of them; receivers fill less than this
+/// before the next heartbeat.
+constexpr std::size_t maxReportedUpstreams = 8;
+constexpr std::size_t reportedByRoom = 4;
+
 /// Final mix of MurmurHash3, so that numbers that differ in one bit give unrelated draws.
 std::uint64_t mixed(std::uint64_t hash)
 {
@@ -62,6 +69,23 @@
     return mixed(hash + offer);
 }
 
+void limitReportedUpstreams(std::vector<FreeCapacity> &free)
+{
+    std::ranges::sort(free, [](const FreeCapacity &a, const FreeCapacity &b) {
+        return a.cpu != b.cpu ? a.cpu > b.cpu : a.runTimePercent < b.runTimePercent;
+    });
+    if (free.size() <= maxReportedUpstreams) {
+        return;
+    }
+    // Fast upstreams that are nearly full would displace those that can take a task.
+    const std::uint32_t usefulCpu = free[reportedByRoom - 1].cpu / 2;
+    std::ranges::stable_sort(free.begin() + reportedByRoom, free.end(), {},
+                             [=](const FreeCapacity &it) {
+                                 return std::tuple{it.cpu < usefulCpu, it.runTimePercent};
+                             });
+    free.resize(maxReportedUpstreams);
+}
+
 void PeerRoom::update(const VmId &vm, const ZoneId &zone, const CapacityReport &room,
                       bool takesQueuedOffers)
 {
--- a/src/rattandock/fleet/sharing_test.cpp
+++ b/src/rattandock/fleet/sharing_test.cpp
@@ -1,6 +1,7 @@
 // Tests the choice of the VM to which tasks are offered.
 #include "rattandock/fleet/sharing.hpp"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 
@@ -191,4 +192,23 @@
     BOOST_TEST(!room.reserveQueue(quick, 1));
 }
 
+// Guards against long tasks that find no fast upstream at a VM with many free ones: its heartbeats
+// named those with the most room only.
+BOOST_AUTO_TEST_CASE(reportsFastUpstreamsOfALargeVm)
+{
+    std::vector<FreeCapacity> free(20, {48'000, 120});
+    free.push_back({20'000, 80});
+    free.push_back({30'000, 80});
+    free.push_back({2'000, 70});
+    limitReportedUpstreams(free);
+    const auto count = [&](std::uint32_t percent) {
+        return std::ranges::count(free, percent, &FreeCapacity::runTimePercent);
+    };
+    BOOST_TEST(free.size() == 8);
+    BOOST_TEST(free[0].cpu == 48'000);
+    // The upstream with 20 cores and the one with 2 cannot take a task of half the usual room.
+    BOOST_TEST(count(80) == 1);
+    BOOST_TEST(count(120) == 7);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
