--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -26,11 +26,13 @@
 class FleetLoop final : public ports::EventSink
 {
 public:
-    /// Where the loop's needs go that concern the store. Links may change before start().
+    /// What the loop needs from the rest of the daemon. Links may change before start().
     struct StoreHooks
     {
         std::function<void(const fleet::WriteKeepers &)> writeKeepers;
         std::function<void(const fleet::UpstreamChanges &)> takeUpstreamChanges;
+        /// Returns the present heartbeat of this VM.
+        std::function<core::Heartbeat()> heartbeat;
         /// A link went up or down.
         std::function<void()> linkChanged = [] {};
     };
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -174,8 +174,14 @@
     std::string detail;
 };
 
+/// Sends a heartbeat to linked VMs before the next regular one is due.
+struct SendHeartbeat
+{
+    std::vector<VmId> vms;
+};
+
 using FleetAction = std::variant<StartOrder, PollOrder, StopOrder, AnswerJob, SendToVm,
-                                 WriteKeepers, ProbeUpstream, FleetLogRecord>;
+                                 SendHeartbeat, WriteKeepers, ProbeUpstream, FleetLogRecord>;
 using FleetActions = std::vector<FleetAction>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -439,6 +439,18 @@
     /// Ends the jobs of which tasks were offered to a VM, or by it, after its link was lost.
     void endOffersOf(const VmId &vm, TimePoint now, FleetActions &actions);
 
+    /// Free places for tasks of the mean size.
+    struct PlaceCount
+    {
+        std::size_t all = 0;
+        /// On upstreams that are faster than the average.
+        std::size_t fast = 0;
+    };
+    PlaceCount countPlaces(TimePoint now) const;
+    /// Sends a heartbeat to the VMs of the own zone with queued work if this VM has few free places
+    /// and their number has changed since the last call.
+    void reportScarceRoom(TimePoint now, FleetActions &actions);
+
     // Jobs (fleet_dispatcher_jobs.cpp).
     JobNumber addJob(FleetJob spec, Origin origin, std::vector<std::uint32_t> indices,
                      std::uint32_t firstRun, TimePoint now);
@@ -561,6 +573,9 @@
     EstimateCorrection m_estimates;
     UpstreamQuarantine m_upstreamWatch;
     WarmUp m_warmUp;
+    /// Mean CPU of the tasks of recent jobs, in thousandths of a core; 0 before the first job.
+    double m_meanTaskCpu = 0;
+    PlaceCount m_placesAtLastReport;
     /// What the keepers of other upstreams reported of them.
     std::map<UpstreamId, ReportedSuspicion> m_suspicions;
     /// Zones in which most of the kept upstreams are quarantined.
--- a/include/rattandock/fleet/sharing.hpp
+++ b/include/rattandock/fleet/sharing.hpp
@@ -60,6 +60,8 @@
     std::size_t countFittingTasks(MilliCores cpu, std::uint32_t maxPercent) const;
     /// Returns the CPU of all upstreams of the peers that accept tasks, in thousandths of a core.
     std::uint64_t usableCpu() const;
+    /// Returns the peers of the own zone whose last report states queued work.
+    std::vector<VmId> vmsWithQueue() const;
     /// Returns the queued work of the peers, in thousandths of a core times microseconds.
     double queuedWork() const;
 
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -232,7 +232,7 @@
         it.loop.start(*it.peers,
                       {[&it](const auto &order) { it.sync.writeKeepers(order); },
                        [&it](const auto &changes) { it.sync.takeUpstreamChanges(changes); },
-                       [&it] { it.sync.hurryBeat(); }});
+                       [&it] { return it.heartbeat(); }, [&it] { it.sync.hurryBeat(); }});
         it.sync.start([&it](fleet::FleetConfig config) { it.api.configure(std::move(config)); },
                       [&it](const auto &rows) { it.followMembers(rows); });
     });
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -134,6 +134,11 @@
                                           },
                                           it.message);
                               },
+                              [&](const fleet::SendHeartbeat &it) {
+                                  for (const VmId &vm : it.vms) {
+                                      m_peers->send({vm, m_hooks.heartbeat()});
+                                  }
+                              },
                               [&](fleet::WriteKeepers &it) { m_hooks.writeKeepers(it); },
                               [&](fleet::ProbeUpstream &it) { probe(std::move(it)); },
                               [&](fleet::FleetLogRecord &it) { m_history.note(it, now); }},
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -39,7 +39,8 @@
     }
     std::visit([&](const auto &it) { handleEvent(it, now, actions); }, event);
     m_isDispatchDue = m_isDispatchDue || mayChangeCapacity(event);
-    if (now >= m_nextHousekeeping) {
+    const bool isHousekeepingDue = now >= m_nextHousekeeping;
+    if (isHousekeepingDue) {
         m_nextHousekeeping = now + housekeepingInterval;
         m_isDispatchDue = true;
         returnUnstartedTasks(now, actions);
@@ -54,6 +55,9 @@
     }
     stepLedgers(now, actions);
     dispatch(now, actions);
+    if (isHousekeepingDue) {
+        reportScarceRoom(now, actions);
+    }
     if (now >= m_nextAssignment) {
         m_nextAssignment = now + m_options.assignmentInterval;
         if (m_isAssignmentDue) {
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -98,6 +98,10 @@
 JobNumber FleetDispatcher::addJob(FleetJob spec, Origin origin, std::vector<std::uint32_t> indices,
                                   std::uint32_t firstRun, TimePoint now)
 {
+    // The mean follows a change of the load within some twenty jobs.
+    constexpr double meanWeight = 0.05;
+    const double cpu = spec.need.cpu.value();
+    m_meanTaskCpu += (cpu - m_meanTaskCpu) * (m_meanTaskCpu > 0 ? meanWeight : 1);
     const JobNumber number{m_nextJob++};
     Job &job = m_jobs[number];
     job.origin = std::move(origin);
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -1,6 +1,7 @@
 // Offers of tasks between the FleetDispatchers of different VMs.
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "rattandock/fleet/fleet_dispatcher.hpp"
 #include "rattandock/fleet/wait_limit.hpp"
@@ -34,6 +35,9 @@
 constexpr std::uint32_t maxOfferedRun = 1'000'000;
 constexpr Duration maxOfferedTime = std::chrono::hours{1};
 
+/// With at least this many free places a VM's last regular report is accurate enough for its peers.
+constexpr std::size_t scarcePlaces = 2;
+
 bool isPlausible(const OfferReceived &event)
 {
     const TaskOffer &offer = event.offer;
@@ -334,6 +338,39 @@
                                         event.from.value() + ", tasks " + std::to_string(count)});
 }
 
+FleetDispatcher::PlaceCount FleetDispatcher::countPlaces(TimePoint now) const
+{
+    PlaceCount count;
+    if (m_meanTaskCpu < 1 || m_stopAt) {
+        return count;
+    }
+    const double mean = m_runTimes.meanFactor();
+    for (const auto &[id, kept] : m_keptUpstreams) {
+        if (!mayPlaceOn(kept, now)) {
+            continue;
+        }
+        const auto places = static_cast<std::size_t>(usableRoom(kept).cpu.value() / m_meanTaskCpu);
+        count.all += places;
+        count.fast += runFactor(kept.ledger.entry()) < mean ? places : 0;
+    }
+    return count;
+}
+
+void FleetDispatcher::reportScarceRoom(TimePoint now, FleetActions &actions)
+{
+    const auto isNews = [](std::size_t places, std::size_t before) {
+        return places != before && std::min(places, before) < scarcePlaces;
+    };
+    const PlaceCount count = countPlaces(now);
+    const PlaceCount before = std::exchange(m_placesAtLastReport, count);
+    if (!isNews(count.all, before.all) && !isNews(count.fast, before.fast)) {
+        return;
+    }
+    if (std::vector<VmId> vms = m_sharedRoom.vmsWithQueue(); !vms.empty()) {
+        actions.emplace_back(SendHeartbeat{std::move(vms)});
+    }
+}
+
 void FleetDispatcher::returnUnstartedTasks(TimePoint now, FleetActions &actions)
 {
     std::vector<JobNumber> unstarted;
--- a/src/rattandock/fleet/fleet_offers_test.cpp
+++ b/src/rattandock/fleet/fleet_offers_test.cpp
@@ -653,6 +653,26 @@
     BOOST_TEST(report.free.back().cpu == 32'032);
 }
 
+// Guards against free places that VMs with waiting tasks learn of only with the next regular
+// heartbeat: under load two of five offers came back, as the room was gone.
+BOOST_AUTO_TEST_CASE(reportsFreedRoomToVmsWithAQueue)
+{
+    occupy();
+    report(b, {}, 1'000'000'000);
+    report(c, {});
+    pass(50ms);
+    recorded.clear();
+    finishRuns();
+    std::vector<VmId> receivers;
+    for (const FleetAction &it : recorded) {
+        if (const auto *const heartbeat = std::get_if<SendHeartbeat>(&it)) {
+            receivers.insert(receivers.end(), heartbeat->vms.begin(), heartbeat->vms.end());
+        }
+    }
+    BOOST_REQUIRE(receivers.size() == 1);
+    BOOST_TEST((receivers[0] == b));
+}
+
 // Guards against a 504 for a job, and an offer that is given up, although the upstream refused all
 // starts.
 BOOST_AUTO_TEST_CASE(refusesAJobWhoseStartsWereAllRefused)
--- a/src/rattandock/fleet/fleet_replay_test.hpp
+++ b/src/rattandock/fleet/fleet_replay_test.hpp
@@ -137,6 +137,7 @@
     void endRun(std::size_t upstream, const RunName &name, RunNumber number, RunEndKind kind);
     void answerPoll(std::size_t upstream);
     void writeKeepers(std::size_t vm, const WriteKeepers &order);
+    void sendHeartbeat(std::size_t vm, const std::vector<VmId> &vms);
     void heartbeat(std::size_t vm);
     void readStore(std::size_t vm);
     CapacityReport reportOf(std::size_t vm) const;
--- a/src/rattandock/fleet/fleet_replay_world_test.cpp
+++ b/src/rattandock/fleet/fleet_replay_world_test.cpp
@@ -214,6 +214,7 @@
                                           std::holds_alternative<JobBrokenOff>(it.end);
                               },
                               [&](const SendToVm &it) { sendToVm(vm, it); },
+                              [&](const SendHeartbeat &it) { sendHeartbeat(vm, it.vms); },
                               [&](const WriteKeepers &it) { writeKeepers(vm, it); },
                               [&](const ProbeUpstream &it) {
                                   post(vm, UpstreamProbed{it.zone, true}, 2ms);
@@ -434,18 +435,28 @@
     return report;
 }
 
-void FleetReplay::heartbeat(std::size_t n)
+void FleetReplay::sendHeartbeat(std::size_t n, const std::vector<VmId> &vms)
 {
     const Vm &vm = m_vms[n];
     const CapacityReport report = reportOf(n);
-    for (const std::size_t it : vm.links) {
+    for (const VmId &it : vms) {
+        const std::size_t to = m_vmById.at(it);
         m_result.messages += 1;
-        post(it,
+        post(to,
              PeerCapacityReported{vm.id, zoneId(vm.zone), false, report, std::nullopt,
                                   fleetRevision},
-             delayBetween(vm.zone, m_vms[it].zone));
+             delayBetween(vm.zone, m_vms[to].zone));
+    }
+}
+
+void FleetReplay::heartbeat(std::size_t n)
+{
+    std::vector<VmId> linked;
+    for (const std::size_t it : m_vms[n].links) {
+        linked.push_back(m_vms[it].id);
     }
-    schedule(heartbeatIntervalFor(vm.links.size()), [this, n] { heartbeat(n); });
+    sendHeartbeat(n, linked);
+    schedule(heartbeatIntervalFor(linked.size()), [this, n] { heartbeat(n); });
 }
 
 void FleetReplay::deliverTrueState(std::size_t n)
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -230,6 +230,7 @@
                                   }
                               },
                               [&](const SendToVm &it) { sendPeer(n, it); },
+                              [&](const SendHeartbeat &it) { sendHeartbeat(n, it); },
                               [&](const WriteKeepers &it) { writeKeepers(n, it); },
                               [&](const ProbeUpstream &it) {
                                   post(n, process, UpstreamProbed{it.zone, true}, 2ms);
@@ -266,15 +267,27 @@
     } else {
         post(n, process, MembersRead{}, 8ms);
     }
-    CapacityReport room = vm.dispatcher->roomReport(m_now);
+    SendHeartbeat toAll;
+    for (const Vm &it : m_vms) {
+        toAll.vms.push_back(it.id);
+    }
+    sendHeartbeat(n, toAll);
+    schedule(m_now + 150ms, [this, n, process] { heartbeat(n, process); });
+}
+
+void FleetWorld::sendHeartbeat(std::size_t n, const SendHeartbeat &message)
+{
+    const Vm &vm = m_vms[n];
+    const CapacityReport room = vm.dispatcher->roomReport(m_now);
     for (std::size_t other = 0; other < vmCount; ++other) {
-        if (other != n && isLinked(n, other) && m_now >= vm.frozenUntil) {
+        const bool isReceiver =
+                std::ranges::find(message.vms, m_vms[other].id) != message.vms.end();
+        if (isReceiver && other != n && isLinked(n, other) && m_now >= vm.frozenUntil) {
             post(other, m_vms[other].process,
                  PeerCapacityReported{vm.id, vm.zone, false, room, std::nullopt, fleetRevision},
                  networkDelay);
         }
     }
-    schedule(m_now + 150ms, [this, n, process] { heartbeat(n, process); });
 }
 
 void FleetWorld::readStore(std::size_t n, std::uint64_t process)
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -233,6 +233,7 @@
     void armTimer(std::size_t vm);
     void execute(std::size_t vm, FleetActions &actions);
     void heartbeat(std::size_t vm, std::uint64_t process);
+    void sendHeartbeat(std::size_t vm, const SendHeartbeat &message);
     void readStore(std::size_t vm, std::uint64_t process);
     void writeKeepers(std::size_t vm, const WriteKeepers &order);
     void sendPeer(std::size_t from, const SendToVm &message);
--- a/src/rattandock/fleet/sharing.cpp
+++ b/src/rattandock/fleet/sharing.cpp
@@ -175,6 +175,17 @@
     return sum;
 }
 
+std::vector<VmId> PeerRoom::vmsWithQueue() const
+{
+    std::vector<VmId> vms;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.zone == m_zone && peer.room.queuedWork > 0) {
+            vms.push_back(vm);
+        }
+    }
+    return vms;
+}
+
 double PeerRoom::queuedWork() const
 {
     double sum = 0;
