--- a/src/rattandock/fleet/fleet_replay_jobs_test.hpp
+++ b/src/rattandock/fleet/fleet_replay_jobs_test.hpp
@@ -100,7 +100,7 @@
     job.caller =
             static_cast<std::size_t>(uniform(random) * static_cast<double>(load.callersPerZone));
     FleetJob &spec = job.spec;
-    spec.queue = QueueId{"q" + std::to_string(it.priority)};
+    spec.queue = QueueId{std::string{"q"} + std::to_string(it.priority)};
     spec.service = ServiceId{"s"};
     spec.priority = it.priority;
     spec.maxAttempts = 3;
@@ -153,7 +153,7 @@
     }
     std::ranges::sort(jobs, {}, &JobTimes::arrived);
     for (std::size_t n = 0; n < jobs.size(); ++n) {
-        jobs[n].spec.id = JobId{"job-" + std::to_string(n)};
+        jobs[n].spec.id = JobId{std::string{"job-"} + std::to_string(n)};
     }
     return jobs;
 }
--- a/src/rattandock/fleet/fleet_replay_world_test.cpp
+++ b/src/rattandock/fleet/fleet_replay_world_test.cpp
@@ -21,7 +21,7 @@
 
 ZoneId zoneId(std::size_t zone)
 {
-    return ZoneId{"zone-" + std::to_string(zone)};
+    return ZoneId{std::string{"zone-"} + std::to_string(zone)};
 }
 
 } // namespace
@@ -90,7 +90,7 @@
                 continue;
             }
             Upstream &it = m_upstreams.emplace_back();
-            it.entry = {UpstreamId{"u" + std::to_string(m_upstreams.size())},
+            it.entry = {UpstreamId{std::string{"u"} + std::to_string(m_upstreams.size())},
                         ServiceId{"s"},
                         zoneId(zone),
                         "127.0.0.1:1",
@@ -109,7 +109,7 @@
     for (std::size_t zone = 0; zone < vmsOfZone.size(); ++zone) {
         for (std::size_t n = 0; n < vmsOfZone.at(zone); ++n) {
             Vm &vm = m_vms.emplace_back();
-            vm.id = VmId{"vm-" + std::to_string(zone) + "-" + std::to_string(n)};
+            vm.id = VmId{std::string{"vm-"} + std::to_string(zone) + "-" + std::to_string(n)};
             vm.zone = zone;
             vm.weight = n < largeVmsOfZone ? largeWeight : smallWeight;
             FleetOptions options;
