Review: a VM that the store turns away acts on a list of any age

The runners of one zone shrink while the store turns its only VM away for 9 s. From 4.5 s on, the VM starts about 50 tasks over the smaller rooms each time.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -89,13 +89,14 @@
     pass
 
 
-async def set_up(world, folder, runner_count, zones, more=None):
+async def set_up(world, folder, runner_count, zones, guarded=None):
     """Starts a store with a config, runners that are spread over the zones, and one daemon for each
-    element of `zones`."""
+    element of `zones`. The store can turn away the VM with the number `guarded`."""
     record = world.record
-    ports = free_ports(runner_count + 1)
+    ports = free_ports(runner_count + 2)
     await world.store.http.listen(ports[0])
-    await world.store.put("op", "config", config(1, PREFIX, HOST, SERVICE, **(more or {})))
+    await world.store.guarded.listen(ports[-1])
+    await world.store.put("op", "config", config(1, PREFIX, HOST, SERVICE))
     names = sorted(set(zones))
     for n in range(runner_count):
         world.runners.append(Runner(world.store, world.watch, record, f"w-{n}",
@@ -103,6 +104,8 @@
                                     ["a", f"r1-{n // 8}"]))
         await world.runners[-1].start()
     world.daemons = Daemons(folder, ports[0], zones, record)
+    if guarded is not None:
+        world.daemons.vms[guarded]["platform"]["address"] = f"127.0.0.1:{ports[-1]}"
     world.callers = Callers(world.daemons, record, PREFIX, HOST)
     for n in range(len(zones)):
         await world.daemons.start(n)
@@ -178,6 +181,9 @@
         self.version = 0
         self.changed = asyncio.Condition()
         self.http = HttpServer(self.serve)
+        # An address of the store for one VM, which it turns away while `turns_away` is set.
+        self.turns_away = False
+        self.guarded = HttpServer(self.serve_guarded)
 
     async def put(self, table, key, value):
         self.version += 1
@@ -192,6 +198,10 @@
             async with self.changed:
                 self.changed.notify_all()
 
+    async def serve_guarded(self, *request):
+        answer = (503, {}) if self.turns_away else await self.serve(*request)
+        return (503, {}) if self.turns_away else answer
+
     def shown(self, place, row):
         value = {"table": place[0], "part": place[1], "key": place[2],
                  "value": base64.b64encode(row[0]).decode(), "ver": row[1]}
@@ -263,9 +273,9 @@
         self.record = record
         self.runs = []
 
-    def begin(self, task, run, runner):
-        entry = {"task": task, "run": run, "runner": runner, "began": now_ms(), "ended": None,
-                 "how": None}
+    def begin(self, task, run, runner, cpu):
+        entry = {"task": task, "run": run, "runner": runner, "cpu": cpu, "began": now_ms(),
+                 "ended": None, "how": None}
         self.runs.append(entry)
         self.record.note("run-began", task=task, run=run, runner=runner)
         return entry
@@ -441,7 +451,7 @@
             return reply(409, "old")
         spec = json.loads(order["spec"])
         self.runs[key] = {"until": now_ms() + spec["ms"], "cpu": spec["cpu"],
-                          "entry": self.watch.begin(key[0], key[1], self.id)}
+                          "entry": self.watch.begin(key[0], key[1], self.id, spec["cpu"])}
         return reply(200)
 
     def extend(self, deadline):
