End runs only by a report or with the lease

Callers' tasks ran twice while their upstream was cut off with resets, and a job was answered as failed although no task had failed.

Cause: a refused connection after a failed poll was taken for the end of the upstream's process. Its confirmed runs ended at once as crashed, their tasks were started elsewhere, and the crashes were counted against the tasks. A filter between the hosts refuses connections too; behind it the runs go on under their lease.

Change: refused connections end no run. A crash is counted once the upstream reports a new process, also for runs that have lapsed before (LapsedRunCrashed), and only for runs that the former process had confirmed.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -124,6 +124,8 @@
         std::uint32_t crashes = 0;
         /// Those of them that were among the last started there.
         std::uint32_t suspectedCrashes = 0;
+        /// True if a run was among the last started on an upstream that may have crashed.
+        bool isCrashSuspect = false;
         /// Expected run time of the latest run.
         Duration expected{};
         TimePoint startedAt;
@@ -358,6 +360,8 @@
     /// Records that the upstream of the task's run has crashed. Returns true if the task must not
     /// be started again.
     static bool recordCrash(Task &task, bool isSuspect);
+    /// Counts the crash against the task, which may have been started again since its run lapsed.
+    void handleLapsedRunCrash(const LapsedRunCrashed &crash, TimePoint now, FleetActions &actions);
     /// Restricts the candidates for a task that is suspected of crashing upstreams to those on
     /// which a crash would end the fewest other runs.
     static void isolate(std::vector<PlacementCandidate> &candidates,
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -48,8 +48,17 @@
     Duration elapsed{};
     /// Whether the upstream confirmed that the run had started.
     bool confirmed = false;
-    /// True if the upstream's process ended during the run, and the run was among the last that
-    /// were started there.
+    /// True if the run was among the last that were started on an upstream whose process was
+    /// replaced, or which refused connections until the lease expired.
+    bool isCrashSuspect = false;
+};
+
+/// Reports that the process on which a confirmed run lapsed earlier had ended: the upstream has
+/// reported a new process. It follows the RunEnded of the run.
+struct LapsedRunCrashed
+{
+    TaskRef task;
+    /// True if the run was among the last that were started on the former process.
     bool isCrashSuspect = false;
 };
 
@@ -68,7 +77,8 @@
     OrderResult reason{};
 };
 
-using LedgerOutput = std::variant<PollOrder, StopOrder, RunEnded, RunNeverStarted, UpstreamLost>;
+using LedgerOutput = std::variant<PollOrder, StopOrder, RunEnded, LapsedRunCrashed, RunNeverStarted,
+                                  UpstreamLost>;
 using LedgerOutputs = std::vector<LedgerOutput>;
 
 /// Tracks the state of one upstream for its keeper: the runs, the room that they reserve, the lease
@@ -77,8 +87,9 @@
 /// A start order without a reply keeps its room reserved until the order can no longer take effect.
 /// To ensure that, the ledger raises the fencing token and polls with the new token; the order is
 /// fenced off if the report of that poll does not contain the run. If the upstream does not reply
-/// at all, its runs are considered ended when the last lease that was sent has expired. If its host
-/// refuses a connection after a failed poll, its process and with it the runs have ended.
+/// at all, its runs are considered ended when the last lease that was sent has expired. A reset or
+/// refused connection ends no run, as a filter between the hosts causes it as well as the end of
+/// the process. Only the report of a new process shows that the former one has crashed.
 /// Thread safety: none.
 class UpstreamLedger
 {
@@ -161,10 +172,16 @@
         /// When the upstream first confirmed the run; `std::nullopt` before.
         std::optional<TimePoint> confirmed;
         TimePoint stopSent;
-        /// Set once the upstream's process has ended.
+        /// Set once the upstream has reported a new process.
         bool hasCrashed = false;
         bool isCrashSuspect = false;
     };
+    /// A confirmed run whose lease expired without a report of its end.
+    struct LapsedRun
+    {
+        TaskRef task;
+        TimePoint sent;
+    };
     struct Poll
     {
         PollNumber number;
@@ -176,11 +193,14 @@
     Runs::iterator remove(Runs::iterator it);
     void end(Runs::iterator it, RunEndKind kind, TimePoint now, LedgerOutputs &out);
     void endAll(RunEndKind kind, TimePoint now, LedgerOutputs &out);
-    /// Ends the confirmed runs after the end of the upstream's process. A start order without a
-    /// reply may still reach the next process, so its run ends with the lease.
-    void handleProcessEnd(TimePoint now, LedgerOutputs &out);
-    /// Marks all runs as crashed, and the ones that were started last as suspects.
-    void markCrashed();
+    /// Ends all runs whose lease has expired, and keeps the confirmed ones for the case that the
+    /// next report shows a crash.
+    void endExpired(TimePoint now, LedgerOutputs &out);
+    /// Returns the send time from which runs were among the last that were started.
+    TimePoint crashSuspectsSince() const;
+    void markCrashSuspects();
+    /// Marks all runs as crashed and reports the crash of those that have lapsed.
+    void markCrashed(LedgerOutputs &out);
     /// Handles a report of another process than the previous reports under the same upstream id.
     void handleProcessRestart(const RunReport &report, TimePoint now, LedgerOutputs &out);
     void updateClock(UpstreamTime clock, TimePoint now);
@@ -201,6 +221,8 @@
     /// Active runs that this ledger did not start, such as those of a previous keeper. They are
     /// being stopped; the room that they take is unknown.
     std::vector<ActiveRun> m_unknownRuns;
+    /// Runs that lapsed since the last report.
+    std::vector<LapsedRun> m_lapsedRuns;
     Resources m_reservedRoom;
     /// Highest position of an ended run that was received.
     EndNumber m_acknowledged;
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -171,7 +171,8 @@
     for (std::uint32_t it = 0; it < job.tasks.size() && indices.size() < count; ++it) {
         const Task &task = job.tasks[it];
         // The crashes of a task are counted here, so another VM would start it too often.
-        if (task.state == TaskState::Waiting && task.notBefore <= now && task.crashes == 0
+        const bool hasCrashes = task.crashes > 0 || task.isCrashSuspect;
+        if (task.state == TaskState::Waiting && task.notBefore <= now && !hasCrashes
             && !(skipReturned && task.wasReturned)) {
             indices.push_back(it);
         }
@@ -404,7 +405,7 @@
             // A task that has failed or crashed an upstream stays, because the offering VM does not
             // count that.
             if (task.state != TaskState::Waiting || task.failures > 0 || task.crashes > 0
-                || now < task.notBefore + requeuedWait) {
+                || task.isCrashSuspect || now < task.notBefore + requeuedWait) {
                 continue;
             }
             task.state = TaskState::Returned;
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -171,7 +171,7 @@
             return true;
         }
     }
-    const bool isSuspect = task.suspectedCrashes > 0;
+    const bool isSuspect = task.isCrashSuspect;
     if (isSuspect) {
         isolate(candidates, kept);
     }
@@ -321,6 +321,7 @@
     if (over.kind == RunEndKind::Failed && ++task.failures >= job.spec.maxAttempts) {
         return endJob(number, JobFailed{}, now, actions);
     }
+    task.isCrashSuspect = task.isCrashSuspect || over.isCrashSuspect;
     const bool isGivenUp =
             over.kind == RunEndKind::Crashed && recordCrash(task, over.isCrashSuspect);
     static constexpr std::array<std::string_view, 7> names{"done",   "failed", "stopped", "lapsed",
@@ -343,6 +344,23 @@
     return task.suspectedCrashes >= maxSuspectedCrashes || task.crashes >= maxCrashes;
 }
 
+void FleetDispatcher::handleLapsedRunCrash(const LapsedRunCrashed &crash, TimePoint now,
+                                           FleetActions &actions)
+{
+    const auto found = m_jobs.find(crash.task.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    Task &task = found->second.tasks[crash.task.task.value()];
+    if (task.state == TaskState::Done || task.state == TaskState::Returned) {
+        return;
+    }
+    task.isCrashSuspect = task.isCrashSuspect || crash.isCrashSuspect;
+    if (recordCrash(task, crash.isCrashSuspect)) {
+        endJob(crash.task.job, JobFailed{FailureReason::UpstreamCrashes}, now, actions);
+    }
+}
+
 void FleetDispatcher::isolate(std::vector<PlacementCandidate> &candidates,
                               const std::vector<KeptUpstream *> &kept)
 {
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -297,6 +297,9 @@
         std::visit(Overloaded{[&](PollOrder &it) { actions.emplace_back(std::move(it)); },
                               [&](StopOrder &it) { actions.emplace_back(std::move(it)); },
                               [&](const RunEnded &it) { handleRunEnd(upstream, it, now, actions); },
+                              [&](const LapsedRunCrashed &it) {
+                                  handleLapsedRunCrash(it, now, actions);
+                              },
                               [&](const RunNeverStarted &it) {
                                   handleRunNotStarted(upstream, it, now, actions);
                               },
--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -159,6 +159,20 @@
     BOOST_TEST(totals.completed > 0);
 }
 
+// Guards against two concurrent runs of a task where an upstream refuses connections while its runs
+// continue: a refused connection was taken for the end of the upstream's process.
+BOOST_AUTO_TEST_CASE(keepsPromisesWhileUpstreamsRefuseConnections)
+{
+    const Totals refusals =
+            runSchedules({.upstreamRefusal = 0.5}, 11000, 200, std::chrono::seconds{12});
+    BOOST_TEST(refusals.completed > 0);
+    BOOST_TEST(refusals.faults > 500);
+    WorldFaults faults = allFaults;
+    faults.upstreamRefusal = 0.3;
+    const Totals totals = runSchedules(faults, 12000, 200, std::chrono::seconds{12});
+    BOOST_TEST(totals.completed > 0);
+}
+
 // Guards against the same at three times the load that fits, where jobs wait, are refused and are
 // abandoned by their callers.
 BOOST_AUTO_TEST_CASE(keepsPromisesUnderOverload)
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -533,6 +533,15 @@
     });
 }
 
+void FleetWorld::resetPendingLook(Upstream &upstream)
+{
+    if (const auto pending = std::exchange(upstream.pendingLook, std::nullopt)) {
+        post(pending->vm, pending->process,
+             RunReportFailed{upstream.entry.id, pending->number, OrderResult::NoAnswer},
+             networkDelay);
+    }
+}
+
 void FleetWorld::injectFaults()
 {
     const double tickSeconds = static_cast<double>(tick.count()) / 1e6;
@@ -587,6 +596,12 @@
             findUpstream(id).unreachableFrom.erase(vm);
         });
     }
+    if (m_faults.upstreamRefusal > 0 && drawn(m_faults.upstreamRefusal)) {
+        Upstream &upstream = anyUpstream();
+        trace("refuse connections to ", upstream.entry.id);
+        upstream.refusesUntil = m_now + drawDuration(100ms, 3s);
+        resetPendingLook(upstream);
+    }
     if (drawn(m_faults.linkCut)) {
         const std::size_t one = anyVm();
         const std::pair<std::size_t, std::size_t> pair = std::minmax({one, anyVm()});
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -49,6 +49,9 @@
     Duration longestFreeze = std::chrono::seconds{4};
     double upstreamCrash = 0;
     double upstreamCut = 0;
+    /// Rate of cuts between an upstream and all VMs that reset open connections and refuse new
+    /// ones, while the upstream's runs continue, per second.
+    double upstreamRefusal = 0;
     double linkCut = 0;
     double storeDown = 0;
     /// Share of submissions whose caller closes the connection 10 to 400 ms after it submits.
@@ -198,6 +201,8 @@
         TimePoint unreachableUntil;
         /// VMs whose connection to the upstream is interrupted.
         std::set<std::size_t> unreachableFrom;
+        /// Time up to which all connections are refused although the process is up.
+        TimePoint refusesUntil;
     };
     struct Caller
     {
@@ -253,7 +258,8 @@
     void checkEvacuation(std::size_t vm, const Upstream &upstream);
 
     OrderOutcome drawOrderOutcome();
-    /// Returns true if the upstream's process has crashed and its host is not cut off from the VM.
+    /// Returns true if connections of the VM are refused, because the upstream's process has
+    /// crashed or a filter between the hosts rejects them.
     bool refusesConnections(std::size_t n, const Upstream &upstream) const;
     bool canReach(std::size_t vm, const Upstream &upstream) const;
     Upstream &findUpstream(const UpstreamId &id);
@@ -276,6 +282,8 @@
     void handleJobEnd(std::size_t caller, const JobEnd &end);
     void handleConnectionLoss(std::size_t caller);
     void injectFaults();
+    /// Ends a poll that the upstream holds open, as its connection has been reset.
+    void resetPendingLook(Upstream &upstream);
 
     struct Scheduled
     {
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -114,8 +114,9 @@
 void UpstreamLedger::end(Runs::iterator it, RunEndKind kind, TimePoint now, LedgerOutputs &out)
 {
     const Run &run = it->second;
-    const RunEndKind actual =
-            kind == RunEndKind::Lapsed && run.hasCrashed ? RunEndKind::Crashed : kind;
+    // It is unknown whether an unconfirmed run was on the process that crashed.
+    const bool hasCrashed = run.hasCrashed && run.confirmed;
+    const RunEndKind actual = kind == RunEndKind::Lapsed && hasCrashed ? RunEndKind::Crashed : kind;
     out.emplace_back(RunEnded{run.task, actual, now - run.sent, run.confirmed.has_value(),
                               run.isCrashSuspect});
     remove(it);
@@ -149,7 +150,7 @@
     if (!isRestart) {
         return;
     }
-    markCrashed();
+    markCrashed(out);
     // The new process has none of the previous runs and has received no token, so it would execute
     // an old order that is still in transit. It refuses such orders once the next poll has
     // delivered the raised token.
@@ -169,34 +170,43 @@
     m_retryAt = now;
 }
 
-void UpstreamLedger::handleProcessEnd(TimePoint now, LedgerOutputs &out)
+TimePoint UpstreamLedger::crashSuspectsSince() const
 {
-    markCrashed();
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const auto next = std::next(it);
-        if (it->second.confirmed) {
-            end(it, RunEndKind::Lapsed, now, out);
-        }
-        it = next;
+    TimePoint last = TimePoint::min();
+    for (const auto &[key, run] : m_runs) {
+        last = std::max(last, run.sent);
+    }
+    for (const LapsedRun &it : m_lapsedRuns) {
+        last = std::max(last, it.sent);
     }
+    return last == TimePoint::min() ? last : last - crashSuspectWindow;
 }
 
-void UpstreamLedger::markCrashed()
+void UpstreamLedger::markCrashSuspects()
 {
     // A draining upstream ends as announced.
     if (m_entry.draining) {
         return;
     }
-    TimePoint last = TimePoint::min();
-    for (const auto &[key, run] : m_runs) {
-        last = run.hasCrashed ? last : std::max(last, run.sent);
-    }
+    const TimePoint since = crashSuspectsSince();
     for (auto &[key, run] : m_runs) {
-        if (!run.hasCrashed) {
+        run.isCrashSuspect = run.sent >= since;
+    }
+}
+
+void UpstreamLedger::markCrashed(LedgerOutputs &out)
+{
+    if (!m_entry.draining) {
+        markCrashSuspects();
+        for (auto &[key, run] : m_runs) {
             run.hasCrashed = true;
-            run.isCrashSuspect = run.sent + crashSuspectWindow >= last;
+        }
+        const TimePoint since = crashSuspectsSince();
+        for (const LapsedRun &it : m_lapsedRuns) {
+            out.emplace_back(LapsedRunCrashed{it.task, it.sent >= since});
         }
     }
+    m_lapsedRuns.clear();
 }
 
 void UpstreamLedger::pollAnswered(PollNumber number, const RunReport &report, TimePoint now,
@@ -213,6 +223,7 @@
     if (report.processStart != UpstreamProcessStart{} && report.processStart != m_processStart) {
         handleProcessRestart(report, now, out);
     }
+    m_lapsedRuns.clear();
     m_acknowledgedByUpstream = std::max(m_acknowledgedByUpstream, m_acknowledged);
     reconcile(poll, report, now, out);
     step(now, out);
@@ -295,10 +306,10 @@
         out.emplace_back(UpstreamLost{m_entry.id, result});
         return;
     }
-    // The first failure is the end of the connection on which the poll was open. A refusal alone
-    // may come from a process that has reached its limit of connections.
+    // Refused connections after a failure are typical of a crash. They do not show that the runs
+    // have ended, but their tasks are kept apart from others when they start again.
     if (result == OrderResult::ConnectionRefused && m_failures > 0) {
-        handleProcessEnd(now, out);
+        markCrashSuspects();
     }
     const Duration pause = std::min(m_times.maxRetryDelay,
                                     m_times.firstRetryDelay * (1U << std::min(m_failures, 6U)));
@@ -387,10 +398,20 @@
     return m_leaseEnd + m_times.expiryDelay();
 }
 
+void UpstreamLedger::endExpired(TimePoint now, LedgerOutputs &out)
+{
+    for (const auto &[key, run] : m_runs) {
+        if (run.confirmed) {
+            m_lapsedRuns.push_back({run.task, run.sent});
+        }
+    }
+    endAll(RunEndKind::Lapsed, now, out);
+}
+
 void UpstreamLedger::step(TimePoint now, LedgerOutputs &out)
 {
     if (!m_runs.empty() && now >= leaseExpiry()) {
-        endAll(RunEndKind::Lapsed, now, out);
+        endExpired(now, out);
     }
     if (!m_openPoll && now >= nextPoll()) {
         sendPoll(now, out);
