End runs of a former process by the rule for all reports

Cause: the first report of a new process ended every confirmed run that it did not list as active. A poll may be answered before the new process starts a run, and the reply to the start may overtake the report; that run counted as one of the former process and its task started elsewhere beside it. A run that the report lists as done counted as crashed, and its task ran again.

Change: handleProcessRestart() ends no run. reconcile(), which follows it, ends a missing run only if it was confirmed before the poll was sent, and takes the ends that the report lists.

keepsARunThatTheNewProcessStartedAfterItsReport and takesTheEndThatTheFirstReportOfANewProcessLists fail on the former code (4 checks) and pass now. In endsAllRunsOfAFormerProcess the poll is now sent 1 ms after the reply; at the same time their order is unknown.

--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -202,7 +202,8 @@
     /// Marks all runs as crashed and reports the crash of those that have lapsed.
     void markCrashed(LedgerOutputs &out);
     /// Handles a report of another process than the previous reports under the same upstream id.
-    void handleProcessRestart(const RunReport &report, TimePoint now, LedgerOutputs &out);
+    void handleProcessRestart(UpstreamProcessStart processStart, TimePoint now,
+                              LedgerOutputs &out);
     void updateClock(UpstreamTime clock, TimePoint now);
     void sendPoll(TimePoint now, LedgerOutputs &out);
     void sendStop(const Key &key, Run &run, TimePoint now, LedgerOutputs &out);
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -142,27 +142,19 @@
     m_clock.emplace(clock, now);
 }
 
-void UpstreamLedger::handleProcessRestart(const RunReport &report, TimePoint now,
+void UpstreamLedger::handleProcessRestart(UpstreamProcessStart processStart, TimePoint now,
                                           LedgerOutputs &out)
 {
     const bool isRestart = m_processStart != UpstreamProcessStart{};
-    m_processStart = report.processStart;
+    m_processStart = processStart;
     if (!isRestart) {
         return;
     }
     markCrashed(out);
     // The new process has none of the previous runs and has received no token, so it would execute
     // an old order that is still in transit. It refuses such orders once the next poll has
-    // delivered the raised token.
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const auto next = std::next(it);
-        const ActiveRun run{it->first.name, it->first.number};
-        const bool isActive = std::ranges::find(report.active, run) != report.active.end();
-        if (!isActive && it->second.confirmed) {
-            end(it, RunEndKind::Lapsed, now, out);
-        }
-        it = next;
-    }
+    // delivered the raised token. Runs that it lists nowhere are ended by reconcile(), except those
+    // that were confirmed after the poll was sent: the new process may have started them since.
     m_unknownRuns.clear();
     m_acknowledged = {};
     m_acknowledgedByUpstream = {};
@@ -221,7 +213,7 @@
     m_retryAt = now;
     updateClock(report.clock, now);
     if (report.processStart != UpstreamProcessStart{} && report.processStart != m_processStart) {
-        handleProcessRestart(report, now, out);
+        handleProcessRestart(report.processStart, now, out);
     }
     m_lapsedRuns.clear();
     m_acknowledgedByUpstream = std::max(m_acknowledgedByUpstream, m_acknowledged);
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -336,6 +336,7 @@
 {
     start(0);
     startAnswered(0, OrderResult::Done);
+    now += 1ms;
     ledger.step(now, out);
     const FencingToken before = ledger.token();
     processStart = UpstreamProcessStart{8};
@@ -346,6 +347,38 @@
     BOOST_TEST(lastPoll().acknowledged.value() == 0);
 }
 
+// Guards against two runs of one task at a time: the first report of a new process was sent before
+// that process started the run, and the run was taken for one of the former process.
+BOOST_AUTO_TEST_CASE(keepsARunThatTheNewProcessStartedAfterItsReport)
+{
+    now += 600ms;
+    ledger.step(now, out);
+    now += 1ms;
+    start(0);
+    startAnswered(0, OrderResult::Done);
+    processStart = UpstreamProcessStart{8};
+    answerPoll({});
+    BOOST_TEST(all<RunEnded>().empty());
+    answerPoll({{}, {}, {{name(0), RunNumber{1}}}, {}});
+    BOOST_TEST(ledger.runCount() == 1);
+    answerPoll({{}, {}, {}, {{EndNumber{1}, name(0), RunNumber{1}, RunEndKind::Done}}});
+    BOOST_REQUIRE(all<RunEnded>().size() == 1);
+    BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Done));
+}
+
+// Guards against repeating a task that the new process has completed before its first report.
+BOOST_AUTO_TEST_CASE(takesTheEndThatTheFirstReportOfANewProcessLists)
+{
+    start(0);
+    startAnswered(0, OrderResult::Done);
+    now += 1ms;
+    ledger.step(now, out);
+    processStart = UpstreamProcessStart{8};
+    answerPoll({{}, {}, {}, {{EndNumber{1}, name(0), RunNumber{1}, RunEndKind::Done}}});
+    BOOST_REQUIRE(all<RunEnded>().size() == 1);
+    BOOST_TEST((all<RunEnded>()[0].kind == RunEndKind::Done));
+}
+
 // Guards against two runs of one task at a time: an order whose lease was computed for the clock of
 // a former process got the longest lease, and a later start shortened what the ledger had noted.
 BOOST_AUTO_TEST_CASE(keepsTheLongestLeaseThatAnOrderMayHaveGot)
