Keep unconfirmed runs for the longest lease

Callers' tasks ran twice after their upstream had restarted between two polls and the replies that would have shown it were lost.

Cause: the end of a lease is requested on the upstream's clock by its last reading. A new process has a new clock, far behind the requested time, and grants the longest lease (1,000 ms) instead of 600 ms. The ledger noticed that only when an answer of the new process arrived, and only if the clock had gone back by more than a second; without an answer it repeated the task after 637 ms.

Change: runs that no answer has confirmed end with the longest lease, 1,045 ms after the last order with a lease. Runs that the former process had confirmed do not exist on the new one and still end after 637 ms. A reading that is behind the expected clock by any time extends the end of the lease by what the upstream may have granted.

--- a/include/rattandock/fleet/lease_times.hpp
+++ b/include/rattandock/fleet/lease_times.hpp
@@ -42,9 +42,11 @@
     Duration stopRetryInterval = 200ms;
 
     /// Returns the time from the end of a lease as granted until it counts as expired.
-    constexpr Duration expiryDelay() const
+    constexpr Duration expiryDelay() const { return expiryDelay(lease); }
+    /// The same for a lease of length `granted`.
+    constexpr Duration expiryDelay(Duration granted) const
     {
-        return Duration{static_cast<Duration::rep>(static_cast<double>(lease.count())
+        return Duration{static_cast<Duration::rep>(static_cast<double>(granted.count())
                                                    * maxClockDrift)}
                + expiryMargin;
     }
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -193,7 +193,7 @@
     Runs::iterator remove(Runs::iterator it);
     void end(Runs::iterator it, RunEndKind kind, TimePoint now, LedgerOutputs &out);
     void endAll(RunEndKind kind, TimePoint now, LedgerOutputs &out);
-    /// Ends all runs whose lease has expired, and keeps the confirmed ones for the case that the
+    /// Ends all runs whose lease has expired, and records the confirmed ones for the case that the
     /// next report shows a crash.
     void endExpired(TimePoint now, LedgerOutputs &out);
     /// Returns the send time from which runs were among the last that were started.
@@ -202,16 +202,26 @@
     /// Marks all runs as crashed and reports the crash of those that have lapsed.
     void markCrashed(LedgerOutputs &out);
     /// Handles a report of another process than the previous reports under the same upstream id.
-    void handleProcessRestart(UpstreamProcessStart processStart, TimePoint now,
-                              LedgerOutputs &out);
+    void handleProcessRestart(UpstreamProcessStart processStart, TimePoint now, LedgerOutputs &out);
+    /// Records a reading of the upstream's clock, and the end of the lease that a new process may
+    /// have granted by the clock of the former one.
     void updateClock(UpstreamTime clock, TimePoint now);
+    /// Records that an order with a lease is sent.
+    void leaseSent(TimePoint now);
+    void confirm(Run &run, TimePoint now);
     void sendPoll(TimePoint now, LedgerOutputs &out);
     void sendStop(const Key &key, Run &run, TimePoint now, LedgerOutputs &out);
     void reconcile(const Poll &poll, const RunReport &report, TimePoint now, LedgerOutputs &out);
     void stopUnknownRuns(const RunReport &report, LedgerOutputs &out);
-    /// Returns when the runs end on the upstream if their lease is not renewed. Includes the
-    /// allowed clock drift and a margin.
+    /// Returns when the confirmed runs end on the upstream if their lease is not renewed. Includes
+    /// the allowed clock drift and a margin.
     TimePoint leaseExpiry() const;
+    /// The same for runs that are not confirmed. An order without a reply may have reached a new
+    /// process, whose clock is behind that of the lease, so that it granted the longest lease.
+    TimePoint unconfirmedLeaseExpiry() const;
+    bool hasUnconfirmedRuns() const { return m_confirmedRuns < m_runs.size(); }
+    /// Returns when the next runs end if their lease is not renewed; `std::nullopt` without runs.
+    std::optional<TimePoint> nextExpiry() const;
     TimePoint nextPoll() const;
 
     UpstreamEntry m_entry;
@@ -219,6 +229,8 @@
     LeaseTimes m_times;
     std::uint32_t m_tokenIncrements = 0;
     Runs m_runs;
+    /// Number of runs that the upstream has confirmed.
+    std::size_t m_confirmedRuns = 0;
     /// Active runs that this ledger did not start, such as those of a previous keeper. They are
     /// being stopped; the room that they take is unknown.
     std::vector<ActiveRun> m_unknownRuns;
@@ -233,8 +245,14 @@
     /// Last reading of the upstream's clock and the local time of its arrival. The reading is
     /// behind the upstream's clock by the network delay, never ahead of it.
     std::optional<std::pair<UpstreamTime, TimePoint>> m_clock;
-    /// Local end of the longest lease that was sent. Upstreams never shorten a lease.
+    /// Local end of the longest lease that the process of the last clock reading, or one before it,
+    /// has granted. Upstreams never shorten a lease.
     TimePoint m_leaseEnd = TimePoint::min();
+    /// Latest end of a lease that was requested, on the upstream's clock, but no later than the
+    /// upstream can have granted by its last reading.
+    UpstreamTime m_leaseUntil;
+    /// When the last order with a lease was sent.
+    TimePoint m_leaseSent = TimePoint::min();
     std::optional<Poll> m_openPoll;
     std::uint64_t m_nextPollNumber = 1;
     TimePoint m_lastPoll = TimePoint::min();
--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -173,6 +173,17 @@
     BOOST_TEST(totals.completed > 0);
 }
 
+// Guards against two concurrent runs of a task where an upstream restarts between two polls and the
+// replies that would show it are lost. The new process grants the longest lease to orders whose
+// lease was computed for the former clock.
+BOOST_AUTO_TEST_CASE(keepsPromisesWhileUpstreamsRestartBetweenPolls)
+{
+    const Totals totals = runSchedules({.replyLost = 0.4, .upstreamRestart = 1}, 13000, 300,
+                                       std::chrono::seconds{12});
+    BOOST_TEST(totals.completed > 0);
+    BOOST_TEST(totals.faults > 500);
+}
+
 // Guards against the same at three times the load that fits, where jobs wait, are refused and are
 // abandoned by their callers.
 BOOST_AUTO_TEST_CASE(keepsPromisesUnderOverload)
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -533,6 +533,25 @@
     });
 }
 
+void FleetWorld::crash(Upstream &upstream, Duration downtime)
+{
+    trace("crash ", upstream.entry.id);
+    upstream.activeRuns.clear();
+    upstream.endedRuns.clear();
+    upstream.highestEndedRun.clear();
+    upstream.nextEndNumber = 1;
+    upstream.highestToken = {};
+    upstream.leaseUntil = m_now;
+    if (const auto pending = std::exchange(upstream.pendingLook, std::nullopt)) {
+        post(pending->vm, pending->process,
+             RunReportFailed{upstream.entry.id, pending->number, OrderResult::NoAnswer},
+             orderTimeout);
+    }
+    ++upstream.process;
+    upstream.clockOffset = -m_now.time_since_epoch();
+    upstream.unreachableUntil = m_now + downtime;
+}
+
 void FleetWorld::resetPendingLook(Upstream &upstream)
 {
     if (const auto pending = std::exchange(upstream.pendingLook, std::nullopt)) {
@@ -571,21 +590,11 @@
     }
     if (drawn(m_faults.upstreamCrash)) {
         Upstream &upstream = anyUpstream();
-        trace("crash ", upstream.entry.id);
-        upstream.activeRuns.clear();
-        upstream.endedRuns.clear();
-        upstream.highestEndedRun.clear();
-        upstream.nextEndNumber = 1;
-        upstream.highestToken = {};
-        upstream.leaseUntil = m_now;
-        if (const auto pending = std::exchange(upstream.pendingLook, std::nullopt)) {
-            post(pending->vm, pending->process,
-                 RunReportFailed{upstream.entry.id, pending->number, OrderResult::NoAnswer},
-                 orderTimeout);
-        }
-        ++upstream.process;
-        upstream.clockOffset = -m_now.time_since_epoch();
-        upstream.unreachableUntil = m_now + drawDuration(100ms, 3s);
+        crash(upstream, drawDuration(100ms, 3s));
+    }
+    if (m_faults.upstreamRestart > 0 && drawn(m_faults.upstreamRestart)) {
+        Upstream &upstream = anyUpstream();
+        crash(upstream, drawDuration(5ms, 60ms));
     }
     if (drawn(m_faults.upstreamCut)) {
         Upstream &upstream = anyUpstream();
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -48,6 +48,8 @@
     double vmFreeze = 0;
     Duration longestFreeze = std::chrono::seconds{4};
     double upstreamCrash = 0;
+    /// Rate of restarts of an upstream that take 5 to 60 ms, shorter than most poll intervals.
+    double upstreamRestart = 0;
     double upstreamCut = 0;
     /// Rate of cuts between an upstream and all VMs that reset open connections and refuse new
     /// ones, while the upstream's runs continue, per second.
@@ -282,6 +284,8 @@
     void handleJobEnd(std::size_t caller, const JobEnd &end);
     void handleConnectionLoss(std::size_t caller);
     void injectFaults();
+    /// Replaces the process of an upstream, which is down for `downtime`.
+    void crash(Upstream &upstream, Duration downtime);
     /// Ends a poll that the upstream holds open, as its connection has been reset.
     void resetPendingLook(Upstream &upstream);
 
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// A reading that is further behind the estimate than this comes from another process. Clock drift
-/// and network delays are far smaller.
-constexpr Duration minClockSetBack = std::chrono::seconds{1};
-
 /// Runs that were started within this time of the last one are all suspected of a crash, as the
 /// order in which the upstream started them is unknown.
 constexpr Duration crashSuspectWindow = std::chrono::milliseconds{10};
@@ -53,7 +49,22 @@
 {
     m_runs.emplace(Key{name, number}, Run{task, need, State::Starting, token(), now, {}, {}});
     m_reservedRoom = m_reservedRoom.plus(need);
+    leaseSent(now);
+}
+
+void UpstreamLedger::leaseSent(TimePoint now)
+{
+    m_leaseSent = now;
     m_leaseEnd = std::max(m_leaseEnd, now + m_times.lease);
+    m_leaseUntil = std::max(m_leaseUntil, leaseUntil(now));
+}
+
+void UpstreamLedger::confirm(Run &run, TimePoint now)
+{
+    if (!run.confirmed) {
+        run.confirmed = now;
+        ++m_confirmedRuns;
+    }
 }
 
 void UpstreamLedger::startAnswered(const RunName &name, RunNumber number, OrderResult result,
@@ -71,9 +82,7 @@
     const bool tokenRaisedSince = run.token < token();
     switch (result) {
     case OrderResult::Done:
-        if (!run.confirmed) {
-            run.confirmed = now;
-        }
+        confirm(run, now);
         if (run.state == State::Starting) {
             run.state = State::Active;
         }
@@ -108,6 +117,7 @@
 UpstreamLedger::Runs::iterator UpstreamLedger::remove(Runs::iterator it)
 {
     m_reservedRoom = m_reservedRoom.minus(it->second.need);
+    m_confirmedRuns -= it->second.confirmed ? 1 : 0;
     return m_runs.erase(it);
 }
 
@@ -133,10 +143,12 @@
 {
     if (m_clock) {
         const Duration expected = m_clock->first.value() + (now - m_clock->second);
-        if (clock.value() + minClockSetBack < expected && !m_runs.empty()) {
-            // The process has restarted. Leases that were computed for its previous clock end far
-            // in the future of the new clock, and the upstream limits them to the maximum.
-            m_leaseEnd = std::max(m_leaseEnd, now + m_times.maxLease);
+        // The upstream limits what it grants, whatever time was requested.
+        m_leaseUntil = std::min(m_leaseUntil, UpstreamTime{clock.value() + m_times.maxLease});
+        if (clock.value() < expected) {
+            // A late answer, or one of a new process with a clock that started anew. Leases that
+            // were requested by the former reading end later than the ledger expected.
+            m_leaseEnd = std::max(m_leaseEnd, now + (m_leaseUntil.value() - clock.value()));
         }
     }
     m_clock.emplace(clock, now);
@@ -236,9 +248,7 @@
         if (run == m_runs.end()) {
             continue;
         }
-        if (!run->second.confirmed) {
-            run->second.confirmed = now;
-        }
+        confirm(run->second, now);
         // An order that reached the next process after the crash of the former one.
         run->second.hasCrashed = false;
         State &state = run->second.state;
@@ -337,9 +347,7 @@
     if (result == OrderResult::Done) {
         // The upstream refuses to start a stopped run, so a start order still in transit has no
         // effect.
-        if (!run.confirmed) {
-            run.confirmed = now;
-        }
+        confirm(run, now);
         return;
     }
     if (result == OrderResult::Fenced && run.token == token()) {
@@ -368,7 +376,7 @@
     // would move the time at which the runs are considered ended.
     if (needsLease && m_clock && m_failures == 0) {
         order.leaseUntil = leaseUntil(now);
-        m_leaseEnd = std::max(m_leaseEnd, now + m_times.lease);
+        leaseSent(now);
     }
     const bool mustAcknowledge = m_acknowledgedByUpstream < m_acknowledged;
     const bool awaitsUnknownRuns = !m_unknownRuns.empty() && !mustAcknowledge;
@@ -390,19 +398,39 @@
     return m_leaseEnd + m_times.expiryDelay();
 }
 
+TimePoint UpstreamLedger::unconfirmedLeaseExpiry() const
+{
+    return std::max(m_leaseEnd, m_leaseSent + m_times.maxLease)
+           + m_times.expiryDelay(m_times.maxLease);
+}
+
+std::optional<TimePoint> UpstreamLedger::nextExpiry() const
+{
+    if (m_runs.empty()) {
+        return std::nullopt;
+    }
+    return m_confirmedRuns > 0 ? leaseExpiry() : unconfirmedLeaseExpiry();
+}
+
 void UpstreamLedger::endExpired(TimePoint now, LedgerOutputs &out)
 {
-    for (const auto &[key, run] : m_runs) {
+    const bool areUnconfirmedOver = now >= unconfirmedLeaseExpiry();
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto next = std::next(it);
+        const Run &run = it->second;
         if (run.confirmed) {
             m_lapsedRuns.push_back({run.task, run.sent});
         }
+        if (run.confirmed || areUnconfirmedOver) {
+            end(it, RunEndKind::Lapsed, now, out);
+        }
+        it = next;
     }
-    endAll(RunEndKind::Lapsed, now, out);
 }
 
 void UpstreamLedger::step(TimePoint now, LedgerOutputs &out)
 {
-    if (!m_runs.empty() && now >= leaseExpiry()) {
+    if (const auto expiry = nextExpiry(); expiry && now >= *expiry) {
         endExpired(now, out);
     }
     if (!m_openPoll && now >= nextPoll()) {
@@ -416,15 +444,16 @@
     if (!m_openPoll) {
         next = nextPoll();
     }
-    if (!m_runs.empty() && (!next || leaseExpiry() < *next)) {
-        next = leaseExpiry();
+    if (const auto expiry = nextExpiry(); expiry && (!next || *expiry < *next)) {
+        next = expiry;
     }
     return next;
 }
 
 TimePoint UpstreamLedger::abandon(TimePoint now, LedgerOutputs &out)
 {
-    const TimePoint over = m_runs.empty() ? now : leaseExpiry();
+    const TimePoint lastExpiry = hasUnconfirmedRuns() ? unconfirmedLeaseExpiry() : leaseExpiry();
+    const TimePoint over = m_runs.empty() ? now : lastExpiry;
     endAll(RunEndKind::Lapsed, now, out);
     return over;
 }
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -397,6 +397,63 @@
     BOOST_TEST((now >= longestLeaseEnd));
 }
 
+// Guards against two runs of one task at a time: a new process that no report has shown yet grants
+// the longest lease to a start order, whose reply is lost like those of the polls.
+BOOST_AUTO_TEST_CASE(keepsAnUnconfirmedRunForTheLongestLease)
+{
+    start(0);
+    startAnswered(0, OrderResult::Done);
+    start(1);
+    startAnswered(1, OrderResult::NoAnswer);
+    ledger.step(now, out);
+    const TimePoint sent = now;
+    const TimePoint longestLeaseEnd = sent + LeaseTimes{}.maxLease;
+    failPoll();
+    bool isRunOfOldProcessOver = false;
+    while (now < longestLeaseEnd + LeaseTimes{}.expiryDelay()) {
+        for (const RunEnded &it : all<RunEnded>()) {
+            // The former process had confirmed the first run, so a new one does not have it.
+            BOOST_TEST(it.task.task.value() == 0);
+            isRunOfOldProcessOver = true;
+        }
+        BOOST_TEST(ledger.runCount() == (isRunOfOldProcessOver ? 1U : 2U));
+        now += 10ms;
+        ledger.step(now, out);
+        if (!all<PollOrder>().empty()) {
+            const PollNumber number = lastPoll().number;
+            std::erase_if(out,
+                          [](const auto &it) { return std::holds_alternative<PollOrder>(it); });
+            ledger.pollFailed(number, OrderResult::NoAnswer, now, out);
+        }
+    }
+    BOOST_TEST(isRunOfOldProcessOver);
+    BOOST_TEST((now - sent > 900ms));
+    now += 50ms;
+    ledger.step(now, out);
+    BOOST_TEST(ledger.runCount() == 0);
+    BOOST_TEST(ledger.freeRoom().cpu.value() == 64'000);
+}
+
+// Guards against the same if the first sign of the new process is the reply to a start order, and
+// the former process had run for less than a second.
+BOOST_AUTO_TEST_CASE(extendsTheLeaseByAnyReadingBehindTheClock)
+{
+    start(0);
+    // The clock of the former process read 11 s.
+    const UpstreamTime behind{now.time_since_epoch() + 1s - 300ms};
+    ledger.startAnswered(name(0), RunNumber{1}, OrderResult::Done, behind, now, out);
+    const TimePoint leaseEnd = now + LeaseTimes{}.lease + 300ms;
+    ledger.step(now, out);
+    while (now < leaseEnd) {
+        BOOST_TEST(all<RunEnded>().empty());
+        now += 10ms;
+        ledger.step(now, out);
+    }
+    now += 40ms;
+    ledger.step(now, out);
+    BOOST_TEST(all<RunEnded>().size() == 1);
+}
+
 // Guards against a lost stop order that leaves a task running after its caller has disconnected.
 BOOST_AUTO_TEST_CASE(repeatsAStopThatDidNotTakeEffect)
 {
