Ask VMs of other zones for the list of upstreams

A VM that the store turned away, while it served the others, started tasks over rooms that had shrunk.

Cause: after a failed read the list of upstreams counted as usable at any age, as if the store were away for all. Changes were forwarded within a zone only, so a VM whose whole zone is turned away got none.

Change: a VM whose list is overdue asks the linked VMs of other zones for the changes since its version after each failed read (UpstreamChangesRequest, revision 3 of the messages), and forwards what it gets in its zone. Each VM keeps the last 200 changes for the answers. Nothing is sent while the list is read in time.

Without the request FleetSyncTest/asksOtherZonesForTheListWhileTheStoreTurnsItAway fails.

--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -30,7 +30,10 @@
     struct StoreHooks
     {
         std::function<void(const fleet::WriteKeepers &)> writeKeepers;
-        std::function<void(const fleet::UpstreamChanges &)> takeUpstreamChanges;
+        /// Takes changes of the list of upstreams that the VM has forwarded.
+        std::function<void(const VmId &, const fleet::UpstreamChanges &)> takeUpstreamChanges;
+        /// Returns the changes of the list of upstreams since a version, if they are known.
+        std::function<std::optional<fleet::UpstreamChanges>(std::uint64_t)> upstreamChangesSince;
         /// Returns the present heartbeat of this VM.
         std::function<core::Heartbeat()> heartbeat;
         /// A link went up or down.
@@ -46,6 +49,8 @@
     void start(ports::PeerPort &peers, StoreHooks hooks);
     /// Sends to the linked VMs of the own zone.
     void sendToZone(const fleet::UpstreamChanges &changes);
+    /// Asks the linked VMs of other zones for the changes of the list of upstreams.
+    void requestUpstreamChanges(std::uint64_t version);
 
     void post(fleet::FleetEvent event);
     /// Events of the peer streams. Thread safety: any thread.
--- a/include/rattandock/app/fleet_sync.hpp
+++ b/include/rattandock/app/fleet_sync.hpp
@@ -51,8 +51,14 @@
     void start(OnConfiguration onConfiguration, OnMembers onMembers);
     /// Carries out a write of keepers' rows; KeeperWriteCompleted follows.
     void writeKeepers(const fleet::WriteKeepers &order);
-    /// Takes what another VM of the zone has read.
-    void takeUpstreamChanges(const fleet::UpstreamChanges &changes);
+    /// Takes changes of the list of upstreams that another VM has read. Those of another zone are
+    /// used only while the copy of this VM is overdue, and are then forwarded in the own zone.
+    void takeUpstreamChanges(const VmId &from, const fleet::UpstreamChanges &changes);
+    /// Returns the changes of the list of upstreams since `version`, if they are known and recent.
+    std::optional<fleet::UpstreamChanges> changesSince(std::uint64_t version) const
+    {
+        return m_directory.changesSince(version, m_loop.now());
+    }
     /// The next beat comes at once, unless the last one has just been.
     void hurryBeat();
     /// Ends the fibers; they return after their current call.
--- a/include/rattandock/core/peer_message.hpp
+++ b/include/rattandock/core/peer_message.hpp
@@ -125,7 +125,7 @@
                      HandoverRecords, HandoverPointer, ConfigurationDelta, fleet::TaskOffer,
                      fleet::TaskOfferEnded, fleet::TaskOfferWithdrawn, fleet::UpstreamChanges,
                      fleet::EvacuationState, fleet::QueuedTaskOffer, fleet::TasksReturned,
-                     fleet::UpstreamSuspicion, fleet::ColdUpstreams>;
+                     fleet::UpstreamSuspicion, fleet::ColdUpstreams, fleet::UpstreamChangesRequest>;
 
 /// Returns the stable name of the message's type for metrics and logs.
 std::string_view name(const PeerMessage &message);
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -96,6 +96,10 @@
     std::set<ZoneId> foreignZonesToKeep(TimePoint now) const;
     /// Returns the VMs of this VM's own zone to which a peer link is up.
     std::vector<VmId> linkedVmsInOwnZone() const;
+    /// Returns the linked VMs of other zones that support the messages of `revision`.
+    std::vector<VmId> linkedVmsInOtherZones(std::uint64_t revision) const;
+    /// Returns true if the last read row of `vm` is in this VM's own zone.
+    bool isInOwnZone(const VmId &vm) const;
     /// Returns true if the link to `vm` is up and was set up after the last pause of this process.
     /// Older links can still deliver messages that were sent before the pause.
     bool isLinkFresh(const VmId &vm) const;
--- a/include/rattandock/fleet/fleet_message.hpp
+++ b/include/rattandock/fleet/fleet_message.hpp
@@ -42,8 +42,10 @@
 ///   0: builds that send no revision.
 ///   1: TasksReturned, QueuedTaskOffer, and an answer to each TaskOfferWithdrawn.
 ///   2: ColdUpstreams.
-inline constexpr std::uint64_t fleetRevision = 2;
+///   3: UpstreamChangesRequest.
+inline constexpr std::uint64_t fleetRevision = 3;
 inline constexpr std::uint64_t coldUpstreamsRevision = 2;
+inline constexpr std::uint64_t changesRequestRevision = 3;
 
 /// Asks a VM to run some tasks of a job on its upstreams. The receiver answers with one
 /// TaskOfferEnded unless the link is lost first. Size: the job plus 4 B for each task.
@@ -123,6 +125,14 @@
     std::vector<UpstreamId> removed;
 };
 
+/// Asks a VM of another zone for the changes of the list of upstreams since `version`. It is sent
+/// to the linked VMs of other zones of revision 3 or later while no VM of the own zone can read the
+/// list. The receiver answers with UpstreamChanges if it has them. Size: 8 B.
+struct UpstreamChangesRequest
+{
+    std::uint64_t version = 0;
+};
+
 /// The zones that the operator evacuates, by the sender's last read. It is sent to each linked VM
 /// when the set changes and after the link has come up, so that a VM that cannot read the store
 /// learns the set. Size: 24 B and the names of the zones.
--- a/include/rattandock/fleet/upstream_directory.hpp
+++ b/include/rattandock/fleet/upstream_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -95,14 +96,35 @@
     /// age is invalid.
     std::optional<UpstreamListRead> applyChanges(const UpstreamChanges &changes, TimePoint now);
 
+    /// Returns true if neither this VM nor another one of its zone has renewed the copy in time, so
+    /// that a VM of another zone is to be asked for the changes.
+    bool isOverdue(TimePoint now) const;
+    /// Returns the changes since `version`, which another VM has, with their age. Returns
+    /// `std::nullopt` if this copy is overdue, or if it does not have all changes since then.
+    std::optional<UpstreamChanges> changesSince(std::uint64_t version, TimePoint now) const;
+
 private:
+    struct Step
+    {
+        /// Version of the copy after the step.
+        std::uint64_t version = 0;
+        std::vector<UpstreamId> changed;
+    };
+
     void apply(UpstreamListRead &seen);
+    /// Records which entries change from the present version to `version`.
+    void recordStep(const UpstreamListRead &seen, std::uint64_t version);
     void updateReadInterval(const DirectoryRead &read);
 
     DirectoryTimes m_times;
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::uint64_t m_version = 0;
     TimePoint m_asOf = TimePoint::min();
+    /// The steps with changes since `m_stepsAfter`, oldest first.
+    std::deque<Step> m_steps;
+    std::uint64_t m_stepsAfter = 0;
+    /// Number of changed entries in the steps.
+    std::size_t m_recordedChanges = 0;
     /// Estimated time in which 350 rows change, the target size of one answer.
     Duration m_fullAnswerInterval = Duration::max();
     bool m_needsWholeRead = true;
--- a/src/rattandock/adapters/detail/peer_fields.hpp
+++ b/src/rattandock/adapters/detail/peer_fields.hpp
@@ -105,6 +105,13 @@
     return std::tie(after, version, age, present, removed);
 }
 
+template <Is<fleet::UpstreamChangesRequest> T>
+auto fields(T &it)
+{
+    auto &[version] = it;
+    return std::tie(version);
+}
+
 template <Is<fleet::EvacuationState> T>
 auto fields(T &it)
 {
--- a/src/rattandock/adapters/peer_codec_test.cpp
+++ b/src/rattandock/adapters/peer_codec_test.cpp
@@ -219,10 +219,12 @@
                 {static_cast<fleet::TrustLevel>(below(fleet::trustLevelCount)), shortNumber(),
                  duration()},
                 duration()};
-    default:
+    case 17:
         return fleet::ColdUpstreams{listOf([] {
             return fleet::ColdUpstream{UpstreamId{text()}, duration()};
         })};
+    default:
+        return fleet::UpstreamChangesRequest{number()};
     }
 }
 
@@ -346,6 +348,12 @@
     });
 }
 
+bool same(const fleet::UpstreamChangesRequest &a, const fleet::UpstreamChangesRequest &b)
+{
+    const auto &[version] = a;
+    return version == b.version;
+}
+
 bool same(const core::PeerMessage &a, const core::PeerMessage &b)
 {
     return a.index() == b.index()
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -231,7 +231,10 @@
     it.onThread([&it] {
         it.loop.start(*it.peers,
                       {[&it](const auto &order) { it.sync.writeKeepers(order); },
-                       [&it](const auto &changes) { it.sync.takeUpstreamChanges(changes); },
+                       [&it](const auto &from, const auto &changes) {
+                           it.sync.takeUpstreamChanges(from, changes);
+                       },
+                       [&it](std::uint64_t version) { return it.sync.changesSince(version); },
                        [&it] { return it.heartbeat(); }, [&it] { it.sync.hurryBeat(); }});
         it.sync.start([&it](fleet::FleetConfig config) { it.api.configure(std::move(config)); },
                       [&it](const auto &rows) { it.followMembers(rows); });
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -54,6 +54,13 @@
     }
 }
 
+void FleetLoop::requestUpstreamChanges(std::uint64_t version)
+{
+    for (const VmId &it : m_dispatcher.linkedVmsInOtherZones(fleet::changesRequestRevision)) {
+        m_peers->send({it, fleet::UpstreamChangesRequest{version}});
+    }
+}
+
 void FleetLoop::stop()
 {
     m_isStopped = true;
@@ -287,7 +294,12 @@
                               // Notices a pause first.
                               post(fleet::TimerDue{});
                               if (m_dispatcher.isLinkFresh(event.from)) {
-                                  m_hooks.takeUpstreamChanges(it);
+                                  m_hooks.takeUpstreamChanges(event.from, it);
+                              }
+                          },
+                          [&](const fleet::UpstreamChangesRequest &it) {
+                              if (const auto changes = m_hooks.upstreamChangesSince(it.version)) {
+                                  m_peers->send({event.from, *changes});
                               }
                           },
                           [](const auto &) {}},
--- a/src/rattandock/app/fleet_sync.cpp
+++ b/src/rattandock/app/fleet_sync.cpp
@@ -238,6 +238,10 @@
         }
         noteStore(table, *failure);
         m_loop.post(fleet::UpstreamListReadFailed{sentAt});
+        // The store may turn away only this VM or its zone.
+        if (m_directory.version() > 0 && m_directory.isOverdue(m_loop.now())) {
+            m_loop.requestUpstreamChanges(m_directory.version());
+        }
         if (!isWhole) {
             pause(retryPause);
         }
@@ -275,10 +279,17 @@
     }
 }
 
-void FleetSync::takeUpstreamChanges(const fleet::UpstreamChanges &changes)
+void FleetSync::takeUpstreamChanges(const VmId &from, const fleet::UpstreamChanges &changes)
 {
+    const bool isFromOwnZone = m_loop.dispatcher().isInOwnZone(from);
+    if (!isFromOwnZone && !m_directory.isOverdue(m_loop.now())) {
+        return;
+    }
     if (auto seen = m_directory.applyChanges(changes, m_loop.now())) {
         m_loop.post(std::move(*seen));
+        if (!isFromOwnZone) {
+            m_loop.sendToZone(changes);
+        }
     }
 }
 
--- a/src/rattandock/app/fleet_sync_test.cpp
+++ b/src/rattandock/app/fleet_sync_test.cpp
@@ -45,12 +45,15 @@
             m_failedAt[table] = std::chrono::steady_clock::now();
             return StoreFailure::NoAnswer;
         }
-        return table == operatorTable ? whole : StoreRows{};
+        return table == operatorTable ? whole : table == "upstreams" ? upstreams : StoreRows{};
     }
     ports::ReadResult changes(const std::string &table, std::uint64_t after,
                               Duration /*wait*/) override
     {
         pause();
+        if (turnedAwayTables.contains(table)) {
+            return StoreFailure::Refused;
+        }
         if (table != operatorTable || script.empty()) {
             return StoreRows{{}, after, false};
         }
@@ -74,11 +77,14 @@
     }
 
     StoreRows whole;
+    StoreRows upstreams;
     std::deque<ports::ReadResult> script;
     std::map<std::string, int> wholeReads;
     std::map<std::string, int> writes;
     /// Reads of this table do not end.
     std::string heldTable;
+    /// Reads of the changes of these tables are refused.
+    std::set<std::string> turnedAwayTables;
     /// Whole reads of these tables fail.
     std::set<std::string> failingTables;
     /// The times from a failed read to the whole read that followed it.
@@ -95,6 +101,27 @@
     std::map<std::string, std::chrono::steady_clock::time_point> m_failedAt;
 };
 
+/// Records the messages to other VMs.
+class RecordedPeers final : public ports::PeerPort
+{
+public:
+    void send(core::SendToPeer message) override { sent.push_back(std::move(message)); }
+
+    template <typename T>
+    std::vector<T> all() const
+    {
+        std::vector<T> found;
+        for (const core::SendToPeer &it : sent) {
+            if (const auto *const one = std::get_if<T>(&it.message)) {
+                found.push_back(*one);
+            }
+        }
+        return found;
+    }
+
+    std::vector<core::SendToPeer> sent;
+};
+
 class NoUpstreams final : public ports::UpstreamOrders
 {
 public:
@@ -143,6 +170,13 @@
         threads.stop();
     }
 
+    static fleet::UpstreamEntry upstream(const std::string &id)
+    {
+        fleet::UpstreamEntry entry;
+        entry.id = UpstreamId{id};
+        entry.zone = ZoneId{"z"};
+        return entry;
+    }
     /// The version of a configuration is the value of its row.
     static DirectoryFormat format()
     {
@@ -150,8 +184,8 @@
                 operatorTable,
                 "config",
                 "evacuate/",
-                [](const std::string &, std::string_view) {
-                    return std::optional<fleet::UpstreamEntry>{};
+                [](const std::string &key, std::string_view) {
+                    return std::optional{upstream(key)};
                 },
                 [](std::string_view value) {
                     fleet::FleetConfig config;
@@ -166,6 +200,26 @@
                        [](const auto &) {});
         });
     }
+    /// Starts the loop with a link to a VM of another zone.
+    void startWithPeer()
+    {
+        onThread([&] {
+            loop.start(peers, {[](const auto &) {},
+                               [&](const auto &from, const auto &changes) {
+                                   sync.takeUpstreamChanges(from, changes);
+                               },
+                               [&](std::uint64_t version) { return sync.changesSince(version); },
+                               [] { return core::Heartbeat{}; }});
+            loop.post(fleet::PeerLinkChanged{peer, true});
+            loop.post(fleet::PeerCapacityReported{
+                    peer, ZoneId{"y"}, false, {}, std::nullopt, fleet::changesRequestRevision});
+        });
+        start();
+    }
+    void receive(core::PeerMessage message)
+    {
+        loop.post(core::Event{core::PeerMessageReceived{peer, std::move(message)}});
+    }
     void onThread(const std::function<void()> &function)
     {
         std::promise<void> done;
@@ -210,6 +264,10 @@
     {
         return readOnThread([this] { return configuration; });
     }
+    std::size_t knownUpstreams()
+    {
+        return readOnThread([this] { return loop.dispatcher().status().knownUpstreams; });
+    }
     int wholeReads()
     {
         return readOnThread([this] { return store.wholeReads[operatorTable]; });
@@ -244,6 +302,8 @@
                    fleet::DirectoryTimes{2s},
                    threads.io(0)};
     std::uint64_t configuration = 0;
+    RecordedPeers peers;
+    const VmId peer{"other"};
 };
 
 const ZoneId zoneA{"a"};
@@ -343,6 +403,39 @@
     waitForZones({zoneA});
 }
 
+// Guards against starts by a list of any age on a VM that the store turns away while it serves the
+// VMs of other zones.
+BOOST_AUTO_TEST_CASE(asksOtherZonesForTheListWhileTheStoreTurnsItAway)
+{
+    onThread([&] {
+        store.upstreams = {{row("u1", 9)}, 10, false};
+        store.turnedAwayTables = {"upstreams"};
+    });
+    startWithPeer();
+    waitUntil([&] { return loop.dispatcher().status().knownUpstreams == 1; });
+    // The copy is not used beside that of the store as long as it is not overdue.
+    receive(fleet::UpstreamChanges{10, 11, Duration{}, {upstream("early")}, {}});
+    BOOST_TEST(knownUpstreams() == 1);
+    waitUntil([&] { return !peers.all<fleet::UpstreamChangesRequest>().empty(); });
+    BOOST_TEST(readOnThread([&] { return peers.all<fleet::UpstreamChangesRequest>()[0].version; })
+               == 10);
+    receive(fleet::UpstreamChanges{10, 12, Duration{}, {upstream("u2")}, {}});
+    waitUntil([&] { return loop.dispatcher().status().knownUpstreams == 2; });
+}
+
+// Guards against a VM of another zone that leaves such a request without an answer.
+BOOST_AUTO_TEST_CASE(answersRequestsForTheChangesOfTheList)
+{
+    onThread([&] { store.upstreams = {{row("u1", 9)}, 10, false}; });
+    startWithPeer();
+    waitUntil([&] { return loop.dispatcher().status().knownUpstreams == 1; });
+    receive(fleet::UpstreamChangesRequest{10});
+    waitUntil([&] { return !peers.all<fleet::UpstreamChanges>().empty(); });
+    const auto changes = readOnThread([&] { return peers.all<fleet::UpstreamChanges>()[0]; });
+    BOOST_TEST(changes.after == 10);
+    BOOST_TEST(changes.version == 10);
+}
+
 // Guards against full reads without a pause when the store answers each read of changes by the loss
 // of its history.
 BOOST_AUTO_TEST_CASE(delaysFullReadsWhileTheHistoryIsLost)
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -143,12 +143,26 @@
     return m_stopAt && m_jobs.empty() && m_keptUpstreams.empty() && m_zonesBeingWritten.empty();
 }
 
+bool FleetDispatcher::isInOwnZone(const VmId &vm) const
+{
+    const MemberRow *const row = m_members.find(vm);
+    return row != nullptr && row->zone == m_options.zone;
+}
+
 std::vector<VmId> FleetDispatcher::linkedVmsInOwnZone() const
+{
+    std::vector<VmId> result;
+    std::ranges::copy_if(m_linkedVms, std::back_inserter(result),
+                         [this](const VmId &it) { return isInOwnZone(it); });
+    return result;
+}
+
+std::vector<VmId> FleetDispatcher::linkedVmsInOtherZones(std::uint64_t revision) const
 {
     std::vector<VmId> result;
     std::ranges::copy_if(m_linkedVms, std::back_inserter(result), [&](const VmId &it) {
-        const MemberRow *const row = m_members.find(it);
-        return row != nullptr && row->zone == m_options.zone;
+        const auto known = m_peerRevisions.find(it);
+        return known != m_peerRevisions.end() && known->second >= revision && !isInOwnZone(it);
     });
     return result;
 }
--- a/src/rattandock/fleet/upstream_directory.cpp
+++ b/src/rattandock/fleet/upstream_directory.cpp
@@ -75,6 +75,7 @@
     if (m_version > 0 && seen.present.size() + seen.removed.size() <= maxForwardedChanges) {
         update.changes = {m_version, read.version, {}, seen.present, seen.removed};
     }
+    recordStep(seen, read.version);
     m_version = read.version;
     m_asOf = std::max(m_asOf, read.sentAt);
     seen.asOf = m_asOf;
@@ -105,6 +106,7 @@
     seen.present = changes.present;
     seen.removed = changes.removed;
     apply(seen);
+    recordStep(seen, changes.version);
     m_version = changes.version;
     m_needsWholeRead = false;
     m_asOf = std::max(m_asOf, now - changes.age);
@@ -112,6 +114,56 @@
     return seen;
 }
 
+bool UpstreamDirectory::isOverdue(TimePoint now) const
+{
+    return m_asOf == TimePoint::min() || now - m_asOf > m_times.interval + m_times.maxDelay;
+}
+
+std::optional<UpstreamChanges> UpstreamDirectory::changesSince(std::uint64_t version,
+                                                               TimePoint now) const
+{
+    if (isOverdue(now) || version < m_stepsAfter || version > m_version) {
+        return std::nullopt;
+    }
+    std::set<UpstreamId> changed;
+    for (const Step &it : m_steps) {
+        if (it.version > version) {
+            changed.insert(it.changed.begin(), it.changed.end());
+        }
+    }
+    UpstreamChanges changes{version, m_version, now - m_asOf, {}, {}};
+    for (const UpstreamId &it : changed) {
+        if (const auto entry = m_entries.find(it); entry != m_entries.end()) {
+            changes.present.push_back(entry->second);
+        } else {
+            changes.removed.push_back(it);
+        }
+    }
+    return changes;
+}
+
+void UpstreamDirectory::recordStep(const UpstreamListRead &seen, std::uint64_t version)
+{
+    if (m_version == 0) {
+        m_stepsAfter = version;
+        return;
+    }
+    Step step{version, seen.removed};
+    for (const UpstreamEntry &it : seen.present) {
+        step.changed.push_back(it.id);
+    }
+    if (step.changed.empty()) {
+        return;
+    }
+    m_recordedChanges += step.changed.size();
+    m_steps.push_back(std::move(step));
+    while (m_recordedChanges > maxForwardedChanges) {
+        m_stepsAfter = m_steps.front().version;
+        m_recordedChanges -= m_steps.front().changed.size();
+        m_steps.pop_front();
+    }
+}
+
 void UpstreamDirectory::apply(UpstreamListRead &seen)
 {
     for (const UpstreamId &it : seen.removed) {
--- a/src/rattandock/fleet/upstream_directory_test.cpp
+++ b/src/rattandock/fleet/upstream_directory_test.cpp
@@ -174,4 +174,55 @@
     BOOST_TEST(directory.applyRead(changed({cold(4s)}, 35, now)).seen.cold.empty());
 }
 
+// Guards against a VM that acts on an outdated list while the store turns it away: a VM of another
+// zone could not tell it what had changed since its version.
+BOOST_AUTO_TEST_CASE(returnsTheChangesSinceAVersion)
+{
+    directory.applyRead(whole({entry("a"), entry("b"), entry("c")}, 10, now));
+    now += 500ms;
+    directory.applyRead(changed({entry("a", true)}, 20, now));
+    now += 500ms;
+    DirectoryRead removal = changed({}, 30, now);
+    removal.removed = {UpstreamId{"b"}};
+    directory.applyRead(std::move(removal));
+    now += 100ms;
+    const auto all = directory.changesSince(10, now);
+    BOOST_REQUIRE(all.has_value());
+    BOOST_TEST(all->after == 10);
+    BOOST_TEST(all->version == 30);
+    BOOST_TEST((all->age == 100ms));
+    BOOST_REQUIRE(all->present.size() == 1);
+    BOOST_TEST(all->present[0].draining);
+    BOOST_REQUIRE(all->removed.size() == 1);
+    BOOST_TEST((all->removed[0] == UpstreamId{"b"}));
+    const auto last = directory.changesSince(25, now);
+    BOOST_REQUIRE(last.has_value());
+    BOOST_TEST(last->present.empty());
+    BOOST_TEST(last->removed.size() == 1);
+    // The changes up to the first read are unknown, and so are those after the last one.
+    BOOST_TEST(!directory.changesSince(9, now).has_value());
+    BOOST_TEST(!directory.changesSince(31, now).has_value());
+    UpstreamDirectory other{DirectoryTimes{2000ms}};
+    other.applyRead(whole({entry("a"), entry("b"), entry("c")}, 15, now - 3s));
+    const auto seen = other.applyChanges(*directory.changesSince(15, now), now);
+    BOOST_REQUIRE(seen.has_value());
+    BOOST_TEST((seen->asOf == now - 100ms));
+}
+
+// Guards against answering another VM from a copy that is itself outdated, and against unlimited
+// memory for changes.
+BOOST_AUTO_TEST_CASE(returnsNoChangesOfAnOverdueCopyOrBeyondTheLimit)
+{
+    directory.applyRead(whole({entry("a")}, 10, now));
+    BOOST_TEST(!directory.isOverdue(now + 1100ms));
+    BOOST_TEST(directory.changesSince(10, now + 1100ms).has_value());
+    BOOST_TEST(directory.isOverdue(now + 1101ms));
+    BOOST_TEST(!directory.changesSince(10, now + 1101ms).has_value());
+    for (std::uint64_t n = 1; n <= 201; ++n) {
+        directory.applyRead(changed({entry("a", n % 2 == 1)}, 10 + n, now));
+    }
+    BOOST_TEST(!directory.changesSince(10, now).has_value());
+    BOOST_TEST(directory.changesSince(11, now).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
