--- a/src/rattandock/fleet/upstream_directory_test.cpp
+++ b/src/rattandock/fleet/upstream_directory_test.cpp
@@ -174,8 +174,8 @@
     BOOST_TEST(directory.applyRead(changed({cold(4s)}, 35, now)).seen.cold.empty());
 }
 
-// Guards against a VM that acts on an outdated list while the store turns it away: a VM of another
-// zone could not tell it what had changed since its version.
+// Guards against starts by an outdated list on a VM that the store turns away, because VMs of other
+// zones do not have the changes since its version.
 BOOST_AUTO_TEST_CASE(returnsTheChangesSinceAVersion)
 {
     directory.applyRead(whole({entry("a"), entry("b"), entry("c")}, 10, now));
