--- a/review/tools-2/world.py
+++ b/review/tools-2/world.py
@@ -127,11 +127,17 @@
         self.rows = {}  # (table, part, key) -> (value or None, ver)
         self.ver = 0
         self.changed = asyncio.Event()
+        self.is_down = False
 
     async def start(self):
         self.http = await HttpServer(self.serve).start()
         return self
 
+    def set_down(self, is_down):
+        """While it is down it answers nobody, and nobody writes."""
+        self.is_down = is_down
+        self.http.reset_all()
+
     def put(self, table, key, value):
         """A write of the operator or of a runner."""
         self.ver += 1
@@ -164,6 +170,8 @@
 
     async def serve(self, method, path, query, headers, body):
         await asyncio.sleep(0.004)
+        if self.is_down:
+            return 503, {}
         get = lambda name, default="": query.get(name, [default])[0]
         if path == "/api/rows-get":
             rows = [self.shown(p, r) for p, r in sorted(self.rows.items())
@@ -263,6 +271,8 @@
         return self
 
     def write_row(self):
+        if self.store.is_down:
+            return
         self.sequence += 1
         self.store.put("servers", self.id, {
             "service": self.service, "address": f"127.0.0.1:{self.http.port}", "zone": self.zone,
