End offers at both VMs when one end of their link is lost

Cause: the two directions of a link end at different times. The VM that lost its link to the sleeper ended all offers between the two, but still took offers that came over the other direction. The sleeper broke off the jobs that it had offered when it saw that its input had ended, and told the other VM nothing, although its own link was up. So nobody ended the runs.

Change: a VM refuses an offer while its link to the offering VM is down, since it could not send the result. It sends the refusal when the link is up again, unless the input has ended meanwhile: the next process of the other VM uses the same numbers. A VM that loses the input of another one withdraws its offers there if the link is up, and sends no further ones before the next heartbeat. A withdrawal follows its offer on the same connection, so the other VM ends the runs or never starts them.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -450,7 +450,10 @@
     void endWithdrawnJob(JobNumber number, TimePoint now, FleetActions &actions);
     /// Returns true if the VM supports the messages of this build.
     bool knowsReturns(const VmId &vm) const;
-    /// Ends the jobs of which tasks were offered to a VM, or by it, after its link was lost.
+    /// Answers the offers that the VM sent while the link to it was down.
+    void sendHeldRefusals(const VmId &vm, FleetActions &actions);
+    /// Ends the jobs of which tasks were offered to a VM, or by it, after the link to it or its
+    /// input was lost.
     void endOffersOf(const VmId &vm, TimePoint now, FleetActions &actions);
 
     /// Free places for tasks of the mean size.
@@ -577,6 +580,9 @@
     std::set<VmId> m_linkedVms;
     /// Links that were up before the last pause of this process. Their messages may be outdated.
     std::set<VmId> m_staleLinks;
+    /// Numbers of the offers of each VM that were refused while the link to it was down, at most
+    /// `maxOpenJobs` of a VM.
+    std::map<VmId, std::vector<std::uint64_t>> m_heldRefusals;
     /// When the last pause of this process was detected.
     std::optional<TimePoint> m_pausedAt;
     /// Message revisions of the VMs with a link, as their heartbeats state them.
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -189,6 +189,7 @@
     m_evacuationsSentTo.erase(event.vm);
     if (event.isUp) {
         m_linkedVms.insert(event.vm);
+        sendHeldRefusals(event.vm, actions);
         return;
     }
     m_linkedVms.erase(event.vm);
@@ -200,6 +201,10 @@
 void FleetDispatcher::handleEvent(const PeerInputClosed &event, TimePoint now,
                                   FleetActions &actions)
 {
+    // The offering process may be gone. The next one uses the same numbers for other offers.
+    m_heldRefusals.erase(event.vm);
+    // Answers to further offers could not arrive before the VM connects again.
+    m_sharedRoom.remove(event.vm);
     endOffersOf(event.vm, now, actions);
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -211,6 +211,16 @@
 void FleetDispatcher::handleEvent(const OfferReceived &event, TimePoint now, FleetActions &actions)
 {
     const TaskOffer &offer = event.offer;
+    if (!m_linkedVms.contains(event.from)) {
+        // The result could not be sent. The other VM sees the end of the link as the end of its
+        // input, and may already have broken off the job.
+        actions.emplace_back(FleetLogRecord{FleetLogRecordKind::OfferAnswered, "link-down",
+                                            offer.job.id, "from " + event.from.value()});
+        if (auto &held = m_heldRefusals[event.from]; held.size() < m_options.maxOpenJobs) {
+            held.push_back(offer.number);
+        }
+        return;
+    }
     // Reports of free room don't name services and labels.
     const bool canRun = std::ranges::any_of(m_keptUpstreams, [&](const auto &it) {
         const UpstreamEntry &entry = it.second.ledger.entry();
@@ -238,6 +248,15 @@
     m_jobsByOffer[{event.from, offer.number}] = number;
 }
 
+void FleetDispatcher::sendHeldRefusals(const VmId &vm, FleetActions &actions)
+{
+    if (const auto held = m_heldRefusals.extract(vm); !held.empty()) {
+        for (const std::uint64_t it : held.mapped()) {
+            actions.emplace_back(SendToVm{vm, TaskOfferEnded{it, OfferResult::NotRun}});
+        }
+    }
+}
+
 void FleetDispatcher::handleEvent(const OfferWithdrawn &event, TimePoint now, FleetActions &actions)
 {
     // An offer that has ended was answered before, so the withdrawal needs no answer then.
@@ -495,6 +514,10 @@
     std::erase_if(m_offers, [&](const auto &it) {
         if (it.second.vm == vm) {
             jobsOfferedToPeer.push_back(it.second.job);
+            if (m_linkedVms.contains(vm)) {
+                // The other VM may read the offer only after it has handled the loss of its link.
+                actions.emplace_back(SendToVm{vm, TaskOfferWithdrawn{it.first}});
+            }
             if (const auto job = m_jobs.find(it.second.job); job != m_jobs.end()) {
                 job->second.unfinishedOffers.push_back(
                         {vm, it.second.tasks.size(), "lost with the link to"});
