Take no message of another VM after the end of its connection

What callers could see: an offer is taken after the event that ends all offers of its connection, so its runs go on while the offering VM has broken off the job.

Cause: messages were queued on the I/O thread, while the end of their connection was handled at once. And when a VM had connected again, what its former connection still delivered was taken as well.

Change: the end of a connection goes through the same queue as its messages. A connection that the peer has replaced is closed, and what it still delivers is refused.

--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -22,7 +22,8 @@
 /// actions on fibers of the same thread. On the platform's VMs only one thread runs at a time and
 /// each wake-up costs, so a decision thread of its own would only add work.
 ///
-/// Thread safety: all methods are called on the I/O thread, but for post(core::Event).
+/// Thread safety: all methods are called on the I/O thread, but for post(core::Event) and
+/// postInputClosed().
 class FleetLoop final : public ports::EventSink
 {
 public:
@@ -55,6 +56,9 @@
     void post(fleet::FleetEvent event);
     /// Events of the peer streams. Thread safety: any thread.
     void post(core::Event event) override;
+    /// Reports that the connection over which another VM sent its messages has ended. It is handled
+    /// after the messages of that connection. Thread safety: any thread.
+    void postInputClosed(const VmId &vm);
 
     /// Submits a job and suspends the calling fiber until its end. `watchClose` is told what to
     /// call if the caller leaves; the result is empty then.
--- a/src/rattandock/adapters/detail/peer_connection.cpp
+++ b/src/rattandock/adapters/detail/peer_connection.cpp
@@ -39,9 +39,9 @@
 
 std::string_view name(PeerConnection::End end)
 {
-    static constexpr std::array<std::string_view, 8> names{
-            "closed",  "silent",     "protocol-violation", "too-large",
-            "refused", "queue-full", "tls-failed",         "wrong-certificate"};
+    static constexpr std::array<std::string_view, 9> names{
+            "closed",     "silent",     "protocol-violation", "too-large", "refused",
+            "queue-full", "tls-failed", "wrong-certificate",  "replaced"};
     return names.at(static_cast<std::size_t>(end));
 }
 
--- a/src/rattandock/adapters/detail/peer_connection.hpp
+++ b/src/rattandock/adapters/detail/peer_connection.hpp
@@ -28,6 +28,8 @@
         TlsFailed,
         /// The certificate names another VM.
         WrongCertificate,
+        /// The peer sends over a newer connection.
+        Replaced,
     };
 
     struct Options
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -201,6 +201,9 @@
         replaceInput(thread, sender, &from);
     } else if (sender != envelope.sender) {
         return refuse("changed-origin");
+    } else if (from.isClosing()) {
+        // A part of what was read before replaceInput() closed the connection.
+        return refuse("replaced-connection");
     }
     metrics.count("peer_messages_received", core::name(envelope.message));
     events.post(core::PeerMessageReceived{std::move(envelope.sender), std::move(envelope.message)});
@@ -211,8 +214,13 @@
                                       PeerConnection *connection)
 {
     auto &inputs = perThread[thread]->inputs;
-    const bool hadInput = inputs.erase(sender) > 0;
+    const auto former = inputs.extract(sender);
+    const bool hadInput = !former.empty();
     if (connection != nullptr) {
+        if (hadInput) {
+            // The peer has given it up. What it has not delivered yet is outdated.
+            former.mapped()->close(PeerConnection::End::Replaced);
+        }
         inputs[sender] = connection;
     }
     if (hadInput && options.onInputClosed && !stopping) {
--- a/src/rattandock/adapters/peer_streams_test.cpp
+++ b/src/rattandock/adapters/peer_streams_test.cpp
@@ -1,5 +1,6 @@
 #include "rattandock/adapters/peer_streams.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -40,35 +41,50 @@
     std::shared_future<void> m_ended = m_end.get_future().share();
 };
 
-/// Sends the bytes as one message to the node; false if they were refused or the connection closed.
-bool isAccepted(const Node &node, const std::vector<std::string> &messages)
+/// A connection to a node over which a test sends messages of its own.
+class RawPeer
 {
-    boost::asio::io_context io;
-    tcp::socket socket{io};
-    socket.connect(node.address());
-    std::size_t replies = 0;
-    bool accepted = true;
-    const auto onReply = [&](bool ok) {
-        ++replies;
-        accepted = accepted && ok;
-    };
-    Http2Session session{Http2Session::Side::Client, {nullptr, onReply}, maxPeerMessageBytes};
-    std::array<char, 16384> buf{};
-    std::size_t submitted = 0;
-    boost::system::error_code ec;
-    while (replies < messages.size()) {
-        if (submitted < messages.size() && session.canSubmit()) {
-            session.submit(messages[submitted++]);
-        }
-        std::string out;
-        session.fillOutput(out, 65536);
-        boost::asio::write(socket, boost::asio::buffer(out), ec);
-        const std::size_t n = ec ? 0 : socket.read_some(boost::asio::buffer(buf), ec);
-        if (ec || session.receive({buf.data(), n}) != Http2Session::Fault::None) {
-            return false;
+public:
+    explicit RawPeer(const Node &node) { m_socket.connect(node.address()); }
+
+    /// Sends the bytes as one message; false if it was refused or the connection has closed.
+    bool isAccepted(const std::string &message)
+    {
+        m_session.submit(message);
+        std::array<char, 16384> buf{};
+        boost::system::error_code ec;
+        for (const std::size_t expected = m_replies + 1; m_replies < expected;) {
+            std::string out;
+            m_session.fillOutput(out, 65536);
+            boost::asio::write(m_socket, boost::asio::buffer(out), ec);
+            const std::size_t n = ec ? 0 : m_socket.read_some(boost::asio::buffer(buf), ec);
+            if (ec || m_session.receive({buf.data(), n}) != Http2Session::Fault::None) {
+                return false;
+            }
         }
+        return m_wasAccepted;
     }
-    return accepted;
+
+private:
+    boost::asio::io_context m_io;
+    tcp::socket m_socket{m_io};
+    std::size_t m_replies = 0;
+    bool m_wasAccepted = false;
+    Http2Session m_session{Http2Session::Side::Client,
+                           {nullptr,
+                            [this](bool accepted) {
+                                ++m_replies;
+                                m_wasAccepted = accepted;
+                            }},
+                           maxPeerMessageBytes};
+};
+
+/// Sends the messages over a connection of their own; false if one was refused or the connection
+/// closed.
+bool areAccepted(const Node &node, const std::vector<std::string> &messages)
+{
+    RawPeer peer{node};
+    return std::ranges::all_of(messages, [&](const auto &it) { return peer.isAccepted(it); });
 }
 
 std::string messageFrom(const std::string &vm)
@@ -164,11 +180,34 @@
     };
     Node b{options};
     b.streams->connect({addressOf("a", anyPort)});
-    waitUntil([&] { return isAccepted(b, {messageFrom("a")}); });
+    waitUntil([&] { return areAccepted(b, {messageFrom("a")}); });
     waitUntil([&] { return closedInputs == 1; });
-    BOOST_TEST(isAccepted(b, {messageFrom("a"), messageFrom("a")}));
+    BOOST_TEST(areAccepted(b, {messageFrom("a"), messageFrom("a")}));
     waitUntil([&] { return closedInputs == 2; });
-    BOOST_TEST(!isAccepted(b, {messageFrom("stranger")}));
+    BOOST_TEST(!areAccepted(b, {messageFrom("stranger")}));
+    BOOST_TEST(closedInputs == 2);
+}
+
+// Guards against an offer that is taken from a connection which the peer has given up: it was read
+// after the peer had connected again and had ended its offers.
+BOOST_AUTO_TEST_CASE(takesNothingFromAConnectionThatThePeerHasReplaced)
+{
+    std::atomic<int> closedInputs = 0;
+    PeerStreamsOptions options = optionsOf("b");
+    options.onInputClosed = [&closedInputs](const VmId &) { ++closedInputs; };
+    Node b{options};
+    b.streams->connect({addressOf("a", anyPort)});
+    waitUntil([&] { return areAccepted(b, {messageFrom("a")}); });
+    waitUntil([&] { return closedInputs == 1; });
+    // Accepted by the threads in turn, so that the first and the last share one.
+    RawPeer former{b};
+    const RawPeer other{b};
+    RawPeer newer{b};
+    BOOST_TEST(former.isAccepted(messageFrom("a")));
+    BOOST_TEST(newer.isAccepted(messageFrom("a")));
+    BOOST_TEST(closedInputs == 2);
+    BOOST_TEST(!former.isAccepted(messageFrom("a")));
+    BOOST_TEST(newer.isAccepted(messageFrom("a")));
     BOOST_TEST(closedInputs == 2);
 }
 
@@ -195,19 +234,19 @@
 {
     Node a{optionsOf("a")};
     a.streams->connect({addressOf("b", anyPort), addressOf("c", anyPort)});
-    waitUntil([&] { return isAccepted(a, {messageFrom("b")}); });
+    waitUntil([&] { return areAccepted(a, {messageFrom("b")}); });
     std::string otherVersion = messageFrom("b");
     ++otherVersion.at(4);
-    BOOST_TEST(!isAccepted(a, {otherVersion}));
+    BOOST_TEST(!areAccepted(a, {otherVersion}));
     BOOST_TEST(a.countOf("peer_messages_refused", "wrong-version") == "1");
-    BOOST_TEST(!isAccepted(a, {messageFrom("b") + "x"}));
+    BOOST_TEST(!areAccepted(a, {messageFrom("b") + "x"}));
     BOOST_TEST(a.countOf("peer_messages_refused", "wrong-size") == "1");
     const std::string unknownBefore = a.countOf("peer_messages_refused", "unknown-vm");
-    BOOST_TEST(!isAccepted(a, {messageFrom("stranger")}));
+    BOOST_TEST(!areAccepted(a, {messageFrom("stranger")}));
     BOOST_TEST(a.countOf("peer_messages_refused", "unknown-vm") != unknownBefore);
-    BOOST_TEST(!isAccepted(a, {messageFrom("b"), messageFrom("c")}));
+    BOOST_TEST(!areAccepted(a, {messageFrom("b"), messageFrom("c")}));
     BOOST_TEST(a.countOf("peer_messages_refused", "changed-origin") == "1");
-    BOOST_TEST(!isAccepted(a, {std::string(maxPeerMessageBytes + 1, 'x')}));
+    BOOST_TEST(!areAccepted(a, {std::string(maxPeerMessageBytes + 1, 'x')}));
     // The connection ends before the message is whole, so that its memory is bounded.
     waitUntil([&] { return a.countOf("peer_connections", "too-large") == "1"; });
     waitUntil([&] { return a.countOf("peer_messages_refused", "too-large") == "1"; });
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -150,7 +150,7 @@
     options.lastPause = std::chrono::milliseconds{500};
     options.settleLimit = std::chrono::milliseconds{100};
     options.seed = randomNumber();
-    options.onInputClosed = [this](const VmId &vm) { loop.post(fleet::PeerInputClosed{vm}); };
+    options.onInputClosed = [this](const VmId &vm) { loop.postInputClosed(vm); };
     if (settings.peerTls) {
         auto tls = adapters::loadPeerTls(*settings.peerTls);
         if (!tls) {
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -248,6 +248,11 @@
     });
 }
 
+void FleetLoop::postInputClosed(const VmId &vm)
+{
+    boost::asio::post(m_threads.io(0), [this, vm] { post(fleet::PeerInputClosed{vm}); });
+}
+
 void FleetLoop::onPeerEvent(core::Event event)
 {
     std::visit(Overloaded{[&](const core::PeerMessageReceived &it) { onPeerMessage(it); },
--- a/src/rattandock/app/fleet_sync_test.cpp
+++ b/src/rattandock/app/fleet_sync_test.cpp
@@ -7,11 +7,13 @@
 #include <future>
 #include <thread>
 
+#include "fleet_fakes_test.hpp"
 #include "rattandock/adapters/io_wait.hpp"
 #include "rattandock/adapters/system_clock.hpp"
 
 using namespace rattandock;
 using namespace rattandock::app;
+using namespace rattandock::app::test;
 using namespace std::chrono_literals;
 using ports::StoreFailure;
 using ports::StoreRow;
@@ -101,47 +103,6 @@
     std::map<std::string, std::chrono::steady_clock::time_point> m_failedAt;
 };
 
-/// Records the messages to other VMs.
-class RecordedPeers final : public ports::PeerPort
-{
-public:
-    void send(core::SendToPeer message) override { sent.push_back(std::move(message)); }
-
-    template <typename T>
-    std::vector<T> all() const
-    {
-        std::vector<T> found;
-        for (const core::SendToPeer &it : sent) {
-            if (const auto *const one = std::get_if<T>(&it.message)) {
-                found.push_back(*one);
-            }
-        }
-        return found;
-    }
-
-    std::vector<core::SendToPeer> sent;
-};
-
-class NoUpstreams final : public ports::UpstreamOrders
-{
-public:
-    ports::StartReply start(const boost::asio::ip::tcp::endpoint &,
-                            const fleet::StartOrder &) override
-    {
-        return {};
-    }
-    fleet::OrderResult stop(const boost::asio::ip::tcp::endpoint &,
-                            const fleet::StopOrder &) override
-    {
-        return {};
-    }
-    ports::LookReply look(const boost::asio::ip::tcp::endpoint &, const fleet::PollOrder &) override
-    {
-        return fleet::OrderResult{};
-    }
-    bool isReachable(const boost::asio::ip::tcp::endpoint &) override { return false; }
-};
-
 StoreRow row(const std::string &key, std::uint64_t version, bool isRemoved = false)
 {
     return {"", key, isRemoved ? "" : std::to_string(version), version, isRemoved};
