Count the runs of a step on an upstream for all offers of its job

Cause: the runs on an upstream were counted by the number of the job within this process. Each offer of another VM and each attempt of the caller is a job with a number of its own, so runs of the same step were counted apart. Tasks that an offer brings back and a second offer brings again are the usual case.

Change: the ledger counts the runs of the caller's job id, repetition and step, whoever started them: of any offer or attempt, without an answer, or of the previous keeper.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -380,8 +380,7 @@
     void dispatchJob(JobNumber number, Job &job, bool canStartHere, Duration ownWait, TimePoint now,
                      FleetActions &actions);
     /// Returns the kept upstreams on which a task of the job fits now.
-    std::vector<PlacementCandidate> placementCandidates(JobNumber number, const Job &job,
-                                                        TimePoint now,
+    std::vector<PlacementCandidate> placementCandidates(const Job &job, TimePoint now,
                                                         std::vector<KeptUpstream *> &kept);
     /// Starts one task on a kept upstream, or offers it if `mayOfferTasks` is set and another VM
     /// has a faster one. Returns false if no upstream is suitable.
--- a/include/rattandock/fleet/run_name.hpp
+++ b/include/rattandock/fleet/run_name.hpp
@@ -20,6 +20,12 @@
     friend auto operator<=>(const RunName &, const RunName &) = default;
 };
 
+/// Returns true if both are tasks of one step, in the same repetition of the job.
+inline bool areOfOneStep(const RunName &a, const RunName &b)
+{
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
 } // namespace rattandock::fleet
 
 template <>
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -110,8 +110,9 @@
     Resources freeRoom() const { return m_entry.capacity.minus(m_reservedRoom); }
     bool isIdle() const { return m_runs.empty() && m_unknownRuns.empty(); }
     std::size_t runCount() const { return m_runs.size(); }
-    /// Returns the number of the job's runs that reserve room on this upstream.
-    std::size_t runCountOfJob(JobNumber job) const;
+    /// Returns the number of runs on this upstream of the step that `task` belongs to, whoever
+    /// started them: for any offer or attempt of the job, or the previous keeper.
+    std::size_t runCountOfStep(const RunName &task) const;
 
     /// Records that a start order was sent, and reserves its room.
     /// Precondition: takesOrders() is true and `need` fits into freeRoom().
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -31,6 +31,12 @@
     return Duration{static_cast<Duration::rep>(static_cast<double>(time.count()) * factor)};
 }
 
+/// Jobs have one step and do not repeat, see toFleetJob().
+RunName runNameOf(const FleetJob &job, std::uint32_t task)
+{
+    return {job.id.value(), 0, 0, task};
+}
+
 bool isOnRack(const UpstreamEntry &entry, const RackId &rack)
 {
     return rack.value().empty()
@@ -130,7 +136,7 @@
 }
 
 std::vector<PlacementCandidate>
-FleetDispatcher::placementCandidates(JobNumber number, const Job &job, TimePoint now,
+FleetDispatcher::placementCandidates(const Job &job, TimePoint now,
                                      std::vector<KeptUpstream *> &kept)
 {
     std::vector<PlacementCandidate> candidates;
@@ -146,7 +152,7 @@
             continue;
         }
         if (job.spec.maxPerUpstream > 0
-            && it.ledger.runCountOfJob(number) >= job.spec.maxPerUpstream) {
+            && it.ledger.runCountOfStep(runNameOf(job.spec, 0)) >= job.spec.maxPerUpstream) {
             continue;
         }
         Duration expected = scaled(predictedRun(job.spec), runFactor(entry));
@@ -163,7 +169,7 @@
                                        bool mayOfferTasks, TimePoint now, FleetActions &actions)
 {
     std::vector<KeptUpstream *> kept;
-    std::vector<PlacementCandidate> candidates = placementCandidates(number, job, now, kept);
+    std::vector<PlacementCandidate> candidates = placementCandidates(job, now, kept);
     Task &task = job.tasks[index];
     if (mayOfferTasks && !task.wasReturned) {
         offerToFasterUpstream(number, job, candidates, now, actions);
@@ -194,7 +200,7 @@
     task.isColdRun = m_warmUp.isCold(upstream) || m_warmUp.isLimited(upstream);
     --job.waiting;
     job.hasStarted = true;
-    const RunName name{job.spec.id.value(), 0, 0, job.indices[index]};
+    const RunName name = runNameOf(job.spec, job.indices[index]);
     const RunNumber run{task.nextRun++};
     const UpstreamTime leaseUntil = ledger.leaseUntil(now);
     ledger.startSent(ref, name, run, job.spec.need, now);
--- a/src/rattandock/fleet/fleet_offers_test.cpp
+++ b/src/rattandock/fleet/fleet_offers_test.cpp
@@ -74,6 +74,26 @@
     BOOST_TEST((ends[0].second.result == OfferResult::NotRun));
 }
 
+// Guards against two tasks on one upstream of a job that allows one: tasks that came in another
+// offer of the job were not counted.
+BOOST_AUTO_TEST_CASE(countsTheTasksOfAllOffersOfAJobOnAnUpstream)
+{
+    FleetJob apart = job("apart", 3, 300ms);
+    apart.maxPerUpstream = 1;
+    send(OfferReceived{b, TaskOffer{5, apart, {0}, 1}});
+    send(OfferReceived{b, TaskOffer{6, apart, {1}, 1}});
+    pass(40ms);
+    BOOST_TEST(starts.size() == 1);
+    const auto ends = taken<TaskOfferEnded>();
+    BOOST_REQUIRE(ends.size() == 1);
+    BOOST_TEST(ends[0].second.number == 6);
+    BOOST_TEST((ends[0].second.result == OfferResult::NotRun));
+    finishRuns();
+    send(OfferReceived{b, TaskOffer{7, apart, {1}, 2}});
+    pass(10ms);
+    BOOST_TEST(starts.size() == 2);
+}
+
 // Guards against a withdrawal without an answer, after which the offering VM has to assume that
 // tasks were started.
 BOOST_AUTO_TEST_CASE(answersAWithdrawal)
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -33,10 +33,13 @@
     return m_clock && m_failures == 0 && m_unknownRuns.empty();
 }
 
-std::size_t UpstreamLedger::runCountOfJob(JobNumber job) const
+std::size_t UpstreamLedger::runCountOfStep(const RunName &task) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-            m_runs, [&](const auto &it) { return it.second.task.job == job; }));
+    const auto own = std::ranges::count_if(
+            m_runs, [&](const auto &it) { return areOfOneStep(it.first.name, task); });
+    const auto unknown = std::ranges::count_if(
+            m_unknownRuns, [&](const ActiveRun &it) { return areOfOneStep(it.name, task); });
+    return static_cast<std::size_t>(own + unknown);
 }
 
 UpstreamTime UpstreamLedger::leaseUntil(TimePoint now) const
--- a/src/rattandock/fleet/upstream_ledger_test.cpp
+++ b/src/rattandock/fleet/upstream_ledger_test.cpp
@@ -95,6 +95,24 @@
     BOOST_TEST((before < ledger.token()));
 }
 
+// Guards against more tasks of a step on an upstream than the job allows: runs of another offer or
+// attempt of the job, of the previous keeper, or without an answer were not counted for it.
+BOOST_AUTO_TEST_CASE(countsTheRunsOfAStepWhoeverStartedThem)
+{
+    start(0);
+    ledger.startSent({JobNumber{2}, TaskIndex{0}}, name(1), RunNumber{1}, taskNeed, now);
+    startAnswered(1, OrderResult::NoAnswer);
+    BOOST_TEST(ledger.runCountOfStep(name(2)) == 2);
+    ledger.step(now, out);
+    RunReport report;
+    report.active = {{name(0), RunNumber{1}}, {name(1), RunNumber{1}}, {name(5), RunNumber{1}}};
+    answerPoll(report);
+    BOOST_TEST(ledger.runCountOfStep(name(2)) == 3);
+    BOOST_TEST(ledger.runCountOfStep({"other", 0, 0, 0}) == 0);
+    BOOST_TEST(ledger.runCountOfStep({"job", 1, 0, 0}) == 0);
+    BOOST_TEST(ledger.runCountOfStep({"job", 0, 1, 0}) == 0);
+}
+
 // Guards against starts beyond the capacity of an upstream that shrinks while it runs tasks.
 BOOST_AUTO_TEST_CASE(followsACapacityThatShrinksAndGrows)
 {
