Replace the connections to other VMs after a pause

What callers could see: after two VMs were paused for a second or more at the same time, each refuses the other's offers for as long as their link lasts, as messages over a link from before the pause count as outdated. And what a connection holds from before the pause can still be read after the link in the other direction has been replaced, which ends that mark.

Cause: the mark belongs to the outgoing connection, while the messages come over the incoming one.

Change: a VM that notices its pause closes the connections in both directions and sets them up again. Others that ran meanwhile have ended what they shared with it by its silence (600 ms).

Evidence: PeerLossTest/replacesTheLinksAfterAPause and PeerStreamsTest/resetsTheConnectionsInBothDirections, which the former code has no call for.

--- a/include/rattandock/adapters/peer_streams.hpp
+++ b/include/rattandock/adapters/peer_streams.hpp
@@ -87,6 +87,10 @@
     /// Closes the link to a VM that is gone. Precondition: as addPeer().
     void removePeer(const VmId &vm);
 
+    /// Closes the connections in both directions. What they have not delivered is dropped, and the
+    /// links are set up again. Thread safety: may be called from any thread.
+    void resetConnections();
+
     /// Replaces the interval of the options. Thread safety: may be called from any thread.
     void setHeartbeatInterval(Duration interval);
 
--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -39,6 +39,8 @@
         std::function<core::Heartbeat()> heartbeat;
         /// A link went up or down.
         std::function<void()> linkChanged = [] {};
+        /// Closes the connections to and from other VMs.
+        std::function<void()> resetPeerConnections = [] {};
     };
 
     /// Precondition: the references outlive the loop.
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -180,8 +180,15 @@
     std::vector<VmId> vms;
 };
 
-using FleetAction = std::variant<StartOrder, PollOrder, StopOrder, AnswerJob, SendToVm,
-                                 SendHeartbeat, WriteKeepers, ProbeUpstream, FleetLogRecord>;
+/// Closes the connections to and from all other VMs, with what they have not delivered. They are
+/// set up again.
+struct ResetPeerConnections
+{
+};
+
+using FleetAction =
+        std::variant<StartOrder, PollOrder, StopOrder, AnswerJob, SendToVm, SendHeartbeat,
+                     WriteKeepers, ProbeUpstream, ResetPeerConnections, FleetLogRecord>;
 using FleetActions = std::vector<FleetAction>;
 
 } // namespace rattandock::fleet
--- a/src/rattandock/adapters/detail/peer_connection.cpp
+++ b/src/rattandock/adapters/detail/peer_connection.cpp
@@ -39,9 +39,9 @@
 
 std::string_view name(PeerConnection::End end)
 {
-    static constexpr std::array<std::string_view, 9> names{
+    static constexpr std::array<std::string_view, 10> names{
             "closed",     "silent",     "protocol-violation", "too-large", "refused",
-            "queue-full", "tls-failed", "wrong-certificate",  "replaced"};
+            "queue-full", "tls-failed", "wrong-certificate",  "replaced",  "reset"};
     return names.at(static_cast<std::size_t>(end));
 }
 
--- a/src/rattandock/adapters/detail/peer_connection.hpp
+++ b/src/rattandock/adapters/detail/peer_connection.hpp
@@ -30,6 +30,8 @@
         WrongCertificate,
         /// The peer sends over a newer connection.
         Replaced,
+        /// This process was paused, so what the connection would deliver is outdated.
+        Reset,
     };
 
     struct Options
--- a/src/rattandock/adapters/detail/peer_link.cpp
+++ b/src/rattandock/adapters/detail/peer_link.cpp
@@ -49,6 +49,13 @@
     }
 }
 
+void PeerLink::reset()
+{
+    if (m_connection != nullptr) {
+        m_connection->close(PeerConnection::End::Reset);
+    }
+}
+
 void PeerLink::send(const core::PeerMessage &message)
 {
     const bool isHeartbeat = std::holds_alternative<core::Heartbeat>(message);
--- a/src/rattandock/adapters/detail/peer_link.hpp
+++ b/src/rattandock/adapters/detail/peer_link.hpp
@@ -23,6 +23,8 @@
     /// Connects, runs the connection and connects again; returns after stop().
     void run();
     void stop();
+    /// Ends the present connection, if there is one.
+    void reset();
 
     /// Queues a message. It is dropped and counted if the link is not up; a heartbeat only needs
     /// a connection.
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -95,6 +95,7 @@
     void tick(std::size_t thread);
     void requestHeartbeat(std::size_t thread, const PeerLink *only);
     void settle(std::size_t thread);
+    void reset(std::size_t thread);
     void closeAll(std::size_t thread);
 };
 
@@ -279,6 +280,16 @@
     }
 }
 
+void PeerStreams::State::reset(std::size_t thread)
+{
+    for (const auto &link : perThread[thread]->links) {
+        link->reset();
+    }
+    for (PeerConnection *const it : perThread[thread]->incoming) {
+        it->close(PeerConnection::End::Reset);
+    }
+}
+
 void PeerStreams::State::closeAll(std::size_t thread)
 {
     PerThread &here = *perThread[thread];
@@ -403,6 +414,17 @@
                });
 }
 
+void PeerStreams::resetConnections()
+{
+    for (std::size_t n = 0; n < m_state->threads.count(); ++n) {
+        asio::post(m_state->threads.io(n), [weak = m_state->weak_from_this(), n] {
+            if (const auto state = weak.lock()) {
+                state->reset(n);
+            }
+        });
+    }
+}
+
 void PeerStreams::setHeartbeatInterval(Duration interval)
 {
     m_state->heartbeatInterval = interval;
--- a/src/rattandock/adapters/peer_streams_test.cpp
+++ b/src/rattandock/adapters/peer_streams_test.cpp
@@ -211,6 +211,26 @@
     BOOST_TEST(closedInputs == 2);
 }
 
+// Guards against messages from before a pause of this process that are read after it, and against a
+// link that stays down after a reset.
+BOOST_AUTO_TEST_CASE(resetsTheConnectionsInBothDirections)
+{
+    std::atomic<int> closedInputs = 0;
+    PeerStreamsOptions options = optionsOf("a");
+    options.onInputClosed = [&closedInputs](const VmId &) { ++closedInputs; };
+    Node a{options};
+    Node b{optionsOf("b")};
+    connectBoth(a, b);
+    const std::size_t changes = a.events.links().size();
+    a.streams->resetConnections();
+    waitUntil([&] { return a.events.links().size() >= changes + 2 && a.events.isUp(); });
+    waitUntil([&] { return closedInputs >= 1 && b.events.isUp(); });
+    BOOST_TEST(a.countOf("peer_links_closed", "reset") == "1");
+    BOOST_TEST(a.countOf("peer_connections", "reset") == "1");
+    a.sendVersion("b", 1);
+    waitUntil([&] { return !b.events.versions().empty(); });
+}
+
 // Guards against a queue that grows without bound while the peer takes nothing.
 BOOST_AUTO_TEST_CASE(fullQueueClosesTheLink)
 {
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -235,7 +235,8 @@
                            it.sync.takeUpstreamChanges(from, changes);
                        },
                        [&it](std::uint64_t version) { return it.sync.changesSince(version); },
-                       [&it] { return it.heartbeat(); }, [&it] { it.sync.hurryBeat(); }});
+                       [&it] { return it.heartbeat(); }, [&it] { it.sync.hurryBeat(); },
+                       [&it] { it.peers->resetConnections(); }});
         it.sync.start([&it](fleet::FleetConfig config) { it.api.configure(std::move(config)); },
                       [&it](const auto &rows) { it.followMembers(rows); });
     });
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -148,6 +148,9 @@
                               },
                               [&](fleet::WriteKeepers &it) { m_hooks.writeKeepers(it); },
                               [&](fleet::ProbeUpstream &it) { probe(std::move(it)); },
+                              [&](const fleet::ResetPeerConnections &) {
+                                  m_hooks.resetPeerConnections();
+                              },
                               [&](fleet::FleetLogRecord &it) { m_history.note(it, now); }},
                    action);
     }
--- a/src/rattandock/fleet/fleet_dispatcher.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher.cpp
@@ -246,6 +246,9 @@
                                                 + std::to_string(m_jobs.size()) + " jobs"});
     m_pausedAt = now;
     m_staleLinks = m_linkedVms;
+    // Each other VM that ran has seen this one as silent and ended what the two shared. One that
+    // paused too would otherwise keep a link whose messages count as outdated here.
+    actions.emplace_back(ResetPeerConnections{});
     m_hasListReadFailed = false;
     m_evacuations.recordPause(now);
     m_listAsOf = TimePoint::min();
--- a/src/rattandock/fleet/fleet_replay_world_test.cpp
+++ b/src/rattandock/fleet/fleet_replay_world_test.cpp
@@ -219,7 +219,7 @@
                               [&](const ProbeUpstream &it) {
                                   post(vm, UpstreamProbed{it.zone, true}, 2ms);
                               },
-                              [](const FleetLogRecord &) {}},
+                              [](const ResetPeerConnections &) {}, [](const FleetLogRecord &) {}},
                    action);
     }
 }
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -235,6 +235,7 @@
                               [&](const ProbeUpstream &it) {
                                   post(n, process, UpstreamProbed{it.zone, true}, 2ms);
                               },
+                              [&](const ResetPeerConnections &) { resetLinks(n); },
                               [&](const FleetLogRecord &it) {
                                   trace(m_vms[n].id, ' ', name(it.kind), ' ', it.reason, ' ',
                                         it.job, ' ', it.detail);
@@ -366,6 +367,16 @@
     }
 }
 
+void FleetWorld::resetLinks(std::size_t n)
+{
+    for (std::size_t other = 0; other < vmCount; ++other) {
+        if (other != n) {
+            setLink(n, other, false);
+            schedule(m_now + 100ms, [this, n, other] { setLink(n, other, true); });
+        }
+    }
+}
+
 void FleetWorld::sendPeer(std::size_t from, const SendToVm &message)
 {
     const auto to =
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -246,6 +246,8 @@
     void sendPeer(std::size_t from, const SendToVm &message);
     bool isLinked(std::size_t a, std::size_t b) const;
     void setLink(std::size_t a, std::size_t b, bool up);
+    /// Takes the links of the VM down and sets them up again.
+    void resetLinks(std::size_t n);
     bool storeIsUp() const { return m_now >= m_storeDownUntil; }
     bool canReadStore(std::size_t vm) const
     {
--- a/src/rattandock/fleet/peer_loss_test.cpp
+++ b/src/rattandock/fleet/peer_loss_test.cpp
@@ -75,4 +75,27 @@
     BOOST_TEST(taken<TaskOffer>().size() == 1);
 }
 
+// Guards against tasks that are started by an offer from before a pause, and against two VMs that
+// were paused at the same time and refuse each other's offers for as long as their links last.
+BOOST_AUTO_TEST_CASE(replacesTheLinksAfterAPause)
+{
+    now += 1500ms;
+    send(ProcessPaused{1500ms});
+    BOOST_TEST(std::ranges::count_if(recorded,
+                                     [](const FleetAction &it) {
+                                         return std::holds_alternative<ResetPeerConnections>(it);
+                                     })
+               == 1);
+    pass(20ms);
+    send(OfferReceived{b, TaskOffer{5, job("before", 1, 300ms), {0}, 1}});
+    pass(20ms);
+    BOOST_TEST(starts.empty());
+    send(PeerLinkChanged{b, false});
+    send(PeerInputClosed{b});
+    send(PeerLinkChanged{b, true});
+    send(OfferReceived{b, TaskOffer{6, job("after", 1, 300ms), {0}, 1}});
+    pass(20ms);
+    BOOST_TEST(starts.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
