Let the links of the simulated fleet end at each end by itself

With linkSkew set, a frozen VM is noticed on each direction of its links at another time, up to a heartbeat before the silence limit, and its peers learn of the end of each connection as in the product. Schedules without it are unchanged.

--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -184,6 +184,29 @@
     BOOST_TEST(totals.faults > 500);
 }
 
+// Guards against two concurrent runs of a task where a link ends at its two ends at different
+// times: a VM that was paused for about the silence limit offered tasks to one that had already
+// ended their offers, broke the job off, and the caller submitted it again while they ran.
+BOOST_AUTO_TEST_CASE(keepsPromisesWhileTheEndsOfALinkDisagree)
+{
+    WorldFaults faults{.vmFreeze = 1.5,
+                       .longestFreeze = std::chrono::milliseconds{1100},
+                       .linkSkew = std::chrono::milliseconds{80},
+                       .arrivalInterval = std::chrono::milliseconds{500},
+                       .longestEstimate = std::chrono::milliseconds{2500},
+                       .callerDeadline = std::chrono::milliseconds{4000}};
+    Totals totals = runSchedules(faults, 14000, 600, std::chrono::seconds{12});
+    BOOST_TEST(totals.completed > 0);
+    BOOST_TEST(totals.faults > 3000);
+    faults = allFaults;
+    faults.linkSkew = std::chrono::milliseconds{80};
+    faults.longestEstimate = std::chrono::milliseconds{2500};
+    faults.callerDeadline = std::chrono::milliseconds{4000};
+    faults.arrivalInterval = std::chrono::milliseconds{300};
+    totals = runSchedules(faults, 15000, 200, std::chrono::seconds{12});
+    BOOST_TEST(totals.completed > 0);
+}
+
 // Guards against the same at three times the load that fits, where jobs wait, are refused and are
 // abandoned by their callers.
 BOOST_AUTO_TEST_CASE(keepsPromisesUnderOverload)
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -7,6 +7,13 @@
 
 namespace rattandock::fleet::test {
 
+namespace {
+
+/// Least time from the end of a connection between VMs until the next one carries messages.
+constexpr Duration shortestReconnect = std::chrono::milliseconds{50};
+
+} // namespace
+
 FleetWorld::FleetWorld(std::uint64_t seed, const WorldFaults &faults)
     : m_random(seed)
     , m_faults(faults)
@@ -347,7 +354,50 @@
 
 bool FleetWorld::isLinked(std::size_t a, std::size_t b) const
 {
-    return m_upLinks.contains(std::minmax(a, b)) && !m_cutLinks.contains(std::minmax(a, b));
+    return m_upLinks.contains(std::minmax(a, b)) && !m_cutLinks.contains(std::minmax(a, b))
+           && !m_endedDirections.contains({a, b});
+}
+
+TimePoint FleetWorld::earliestReconnect(std::size_t a, std::size_t b) const
+{
+    // Both have to run, and to notice the end of the former connection first.
+    return std::max(m_vms[a].frozenUntil, m_vms[b].frozenUntil) + shortestReconnect;
+}
+
+void FleetWorld::endDirection(std::size_t from, std::size_t to)
+{
+    if (!m_upLinks.contains(std::minmax(from, to))
+        || !m_endedDirections.insert({from, to}).second) {
+        return;
+    }
+    trace("end of the connection from ", m_vms[from].id, " to ", m_vms[to].id);
+    post(from, m_vms[from].process, PeerLinkChanged{m_vms[to].id, false}, networkDelay);
+    post(to, m_vms[to].process, PeerInputClosed{m_vms[from].id}, networkDelay);
+}
+
+void FleetWorld::restoreDirection(std::size_t from, std::size_t to)
+{
+    if (const TimePoint earliest = earliestReconnect(from, to); m_now < earliest) {
+        return schedule(earliest, [this, from, to] { restoreDirection(from, to); });
+    }
+    if (m_endedDirections.erase({from, to}) > 0 && isLinked(from, to)) {
+        post(from, m_vms[from].process, PeerLinkChanged{m_vms[to].id, true}, 2 * networkDelay);
+    }
+}
+
+void FleetWorld::endSilentDirections(std::size_t vm, Duration length)
+{
+    for (std::size_t other = 0; other < vmCount; ++other) {
+        for (const auto &[from, to] : {std::pair{vm, other}, std::pair{other, vm}}) {
+            const Duration limit = linkSilenceTimeout - drawDuration(0ms, m_faults.linkSkew);
+            if (other == vm || length <= limit) {
+                continue;
+            }
+            schedule(m_now + limit, [this, from = from, to = to] { endDirection(from, to); });
+            schedule(m_now + length + drawDuration(shortestReconnect, 3 * shortestReconnect),
+                     [this, from = from, to = to] { restoreDirection(from, to); });
+        }
+    }
 }
 
 void FleetWorld::setLink(std::size_t a, std::size_t b, bool up)
@@ -357,12 +407,20 @@
             || !m_vms[b].dispatcher)) {
         return;
     }
+    if (const TimePoint earliest = earliestReconnect(a, b);
+        up && m_faults.linkSkew > Duration{} && m_now < earliest) {
+        return schedule(earliest, [this, a, b] { setLink(a, b, true); });
+    }
     const bool changed = up ? m_upLinks.insert(std::minmax(a, b)).second
                             : m_upLinks.erase(std::minmax(a, b)) > 0;
     if (!changed) {
         return;
     }
     for (const auto &[self, other] : {std::pair{a, b}, std::pair{b, a}}) {
+        m_endedDirections.erase({self, other});
+        if (!up && m_faults.linkSkew > Duration{}) {
+            post(self, m_vms[self].process, PeerInputClosed{m_vms[other].id}, networkDelay);
+        }
         post(self, m_vms[self].process, PeerLinkChanged{m_vms[other].id, up}, networkDelay);
     }
 }
@@ -430,9 +488,9 @@
     it.job.need = {MilliCores{static_cast<std::uint32_t>(
                            drawDuration(Duration{15'000}, Duration{41'000}).count())},
                    Megabytes{64}, Accelerators{0}};
-    it.job.estimate = drawDuration(30ms, 500ms);
+    it.job.estimate = drawDuration(30ms, m_faults.longestEstimate);
     it.job.objective = it.job.estimate * 8 / 5 + 60ms;
-    it.job.deadline = 1500ms;
+    it.job.deadline = m_faults.callerDeadline;
     it.job.maxAttempts = 3;
     it.firstSent = m_now;
     m_callerByJob[it.job.id.value()] = caller;
@@ -515,7 +573,7 @@
     Caller &it = m_callers[caller];
     it.isConnected = false;
     it.everBrokenOff = true;
-    if (m_now - it.firstSent < 1500ms) {
+    if (m_now - it.firstSent < m_faults.callerDeadline) {
         schedule(m_now + resubmitDelay, [this, caller] { submit(caller); });
     }
 }
@@ -524,7 +582,9 @@
 {
     m_vms[vm].frozenUntil = m_now + length;
     trace("freeze ", m_vms[vm].id, " for ", length.count() / 1000, " ms");
-    if (length > linkSilenceTimeout) {
+    if (m_faults.linkSkew > Duration{}) {
+        endSilentDirections(vm, length);
+    } else if (length > linkSilenceTimeout) {
         for (std::size_t other = 0; other < vmCount; ++other) {
             if (other == vm) {
                 continue;
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -55,6 +55,9 @@
     /// ones, while the upstream's runs continue, per second.
     double upstreamRefusal = 0;
     double linkCut = 0;
+    /// If positive, a frozen VM is noticed up to this long before the silence limit, and on each
+    /// direction of its links by itself. With 0 both directions end at once, at the limit.
+    Duration linkSkew{};
     double storeDown = 0;
     /// Share of submissions whose caller closes the connection 10 to 400 ms after it submits.
     double callerLeaves = 0;
@@ -75,6 +78,8 @@
     double storeSlow = 0;
     /// Share of the first VM's zone that it keeps, relative to the other VMs.
     double firstVmWeight = 1;
+    Duration longestEstimate = std::chrono::milliseconds{500};
+    Duration callerDeadline = std::chrono::milliseconds{1500};
     /// If positive, all callers use one VM at a time, each for a third of this period.
     Duration wavePeriod{};
 };
@@ -246,6 +251,12 @@
     void sendPeer(std::size_t from, const SendToVm &message);
     bool isLinked(std::size_t a, std::size_t b) const;
     void setLink(std::size_t a, std::size_t b, bool up);
+    TimePoint earliestReconnect(std::size_t a, std::size_t b) const;
+    /// Ends the connection over which `from` sends, while that of `to` may stay up.
+    void endDirection(std::size_t from, std::size_t to);
+    void restoreDirection(std::size_t from, std::size_t to);
+    /// Ends each direction of the VM's links whose silence limit the freeze exceeds.
+    void endSilentDirections(std::size_t vm, Duration length);
     /// Takes the links of the VM down and sets them up again.
     void resetLinks(std::size_t n);
     bool storeIsUp() const { return m_now >= m_storeDownUntil; }
@@ -304,6 +315,8 @@
     std::vector<Upstream> m_upstreams;
     std::set<std::pair<std::size_t, std::size_t>> m_cutLinks;
     std::set<std::pair<std::size_t, std::size_t>> m_upLinks;
+    /// Directions of links that have ended by themselves, as sender and receiver.
+    std::set<std::pair<std::size_t, std::size_t>> m_endedDirections;
     std::map<VmId, MemberRow> m_memberRows;
     std::map<UpstreamId, KeeperRow> m_keeperRows;
     /// Begins at 1, so that the first read of the operator's table has a version.
