Check the limit of tasks on an upstream in the simulated fleet

FleetPropertyTest/keepsTheLimitOfTasksPerUpstream: 100 schedules without faults and 300 with all faults, with links that end at each end by itself.

--- a/src/rattandock/fleet/fleet_property_test.cpp
+++ b/src/rattandock/fleet/fleet_property_test.cpp
@@ -207,6 +207,21 @@
     BOOST_TEST(totals.completed > 0);
 }
 
+// Guards against more tasks of a job on one upstream than it allows: runs of its other offers, of a
+// former attempt or of a former keeper were counted for another job.
+BOOST_AUTO_TEST_CASE(keepsTheLimitOfTasksPerUpstream)
+{
+    const Totals calm =
+            runSchedules({.arrivalInterval = std::chrono::milliseconds{120}, .maxPerUpstream = 1},
+                         16000, 100, std::chrono::seconds{12});
+    BOOST_TEST(calm.completed > 1000);
+    WorldFaults faults = allFaults;
+    faults.linkSkew = std::chrono::milliseconds{80};
+    faults.maxPerUpstream = 1;
+    const Totals totals = runSchedules(faults, 17000, 300, std::chrono::seconds{12});
+    BOOST_TEST(totals.completed > 0);
+}
+
 // Guards against the same at three times the load that fits, where jobs wait, are refused and are
 // abandoned by their callers.
 BOOST_AUTO_TEST_CASE(keepsPromisesUnderOverload)
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -492,6 +492,7 @@
     it.job.objective = it.job.estimate * 8 / 5 + 60ms;
     it.job.deadline = m_faults.callerDeadline;
     it.job.maxAttempts = 3;
+    it.job.maxPerUpstream = m_faults.maxPerUpstream;
     it.firstSent = m_now;
     m_callerByJob[it.job.id.value()] = caller;
     ++m_submitted;
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -80,6 +80,8 @@
     double firstVmWeight = 1;
     Duration longestEstimate = std::chrono::milliseconds{500};
     Duration callerDeadline = std::chrono::milliseconds{1500};
+    /// Most tasks of a job that may run on one upstream at a time; 0 for no limit.
+    std::uint32_t maxPerUpstream = 0;
     /// If positive, all callers use one VM at a time, each for a third of this period.
     Duration wavePeriod{};
 };
--- a/src/rattandock/fleet/fleet_world_upstreams_test.cpp
+++ b/src/rattandock/fleet/fleet_world_upstreams_test.cpp
@@ -123,8 +123,14 @@
         }
     }
     std::uint32_t cpu = need.cpu.value();
+    std::uint32_t tasksOfJob = 1;
     for (const auto &[run, active] : upstream.activeRuns) {
         cpu += active.need.cpu.value();
+        tasksOfJob += run.first.job == job ? 1 : 0;
+    }
+    if (m_faults.maxPerUpstream > 0 && tasksOfJob > m_faults.maxPerUpstream) {
+        reportViolation(std::to_string(tasksOfJob) + " tasks of " + job + " on "
+                        + upstream.entry.id.value());
     }
     if (cpu > upstream.entry.capacity.cpu.value()) {
         reportViolation("a start exceeds the capacity of " + upstream.entry.id.value());
