--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -150,8 +150,9 @@
     bool isUp = false;
 };
 
-/// The connection over which another VM sent its messages ended. The link to that VM may still be
-/// up. Task offers between the two VMs are cancelled, as the other end cancels its part.
+/// The connection over which another VM sent its messages ended, after its last message. The link
+/// to that VM may still be up. Task offers between the two VMs are cancelled, as the other end
+/// cancels its part when it notices the same.
 struct PeerInputClosed
 {
     VmId vm;
