--- a/src/standins/fleet/main.cpp
+++ b/src/standins/fleet/main.cpp
@@ -32,10 +32,12 @@
     options.add_options()("first-port", "port of the store; the runners follow",
                           cxxopts::value<std::uint16_t>()->default_value("7700"))(
             "runners", "number of runners", cxxopts::value<int>()->default_value("12"))(
+            "queues", "number of queues in the configuration; the first takes the jobs",
+            cxxopts::value<int>()->default_value("1"))(
             "zones", "zones that the runners are in",
             cxxopts::value<std::vector<std::string>>()->default_value("a"))(
-            "callers-to", "caller ports of the VMs",
-            cxxopts::value<std::vector<std::uint16_t>>()->default_value(""))(
+            "callers-to", "caller ports of the VMs; without it no jobs are sent",
+            cxxopts::value<std::vector<std::uint16_t>>())(
             "jobs-per-s", "rate of jobs", cxxopts::value<double>()->default_value("20"))(
             "seconds", "how long jobs are sent", cxxopts::value<int>()->default_value("10"))(
             "warm-up", "seconds before the first job", cxxopts::value<int>()->default_value("3"))(
@@ -166,17 +168,30 @@
     adapters::HttpConnections m_connections{32};
 };
 
-std::string configuration()
+std::string configuration(int queues)
 {
-    const json::object route{{"name", "jobs"},     {"host", "127.0.0.1"},
-                             {"prefix", "/jobs/"}, {"kind", "non_idempotent"},
-                             {"timeout_ms", 1500}, {"target_latency_ms", 60},
-                             {"priority", 0},      {"service", "s"},
-                             {"max_attempts", 3},  {"stretch", 1.6}};
+    json::array routes;
+    for (int n = 0; n < queues; ++n) {
+        const std::string name = n == 0 ? "jobs" : "jobs-" + std::to_string(n);
+        routes.push_back(json::object{{"name", name},
+                                      {"host", "127.0.0.1"},
+                                      {"prefix", '/' + name + '/'},
+                                      {"kind", "non_idempotent"},
+                                      {"timeout_ms", 1500},
+                                      {"target_latency_ms", 60},
+                                      {"priority", 0},
+                                      {"service", "s"},
+                                      {"max_attempts", 3},
+                                      {"stretch", 1.6}});
+    }
     return json::serialize(json::object{{"version", 1},
-                                        {"routes", {route}},
+                                        {"routes", std::move(routes)},
                                         {"services", json::array{}},
-                                        {"limits", json::object{}}});
+                                        {"limits",
+                                         {{"max_header_bytes", 16'384},
+                                          {"max_body_bytes", 262'144},
+                                          {"header_timeout_ms", 3000},
+                                          {"idle_timeout_ms", 15'000}}}});
 }
 
 int serve(const cxxopts::ParseResult &arguments)
@@ -200,7 +215,7 @@
         return server.has_value();
     };
     bool isListening = listen(port, [&](const auto &request) { return store.serve(request); });
-    store.put("op", "config", configuration());
+    store.put("op", "config", configuration(arguments["queues"].as<int>()));
     std::vector<std::unique_ptr<StandinRunner>> runners;
     for (int n = 0; n < arguments["runners"].as<int>(); ++n) {
         const auto number = static_cast<std::size_t>(n);
@@ -227,12 +242,12 @@
             boost::this_fiber::sleep_for(milliseconds{1});
         }
     });
-    const auto callerPorts = arguments["callers-to"].as<std::vector<std::uint16_t>>();
-    if (callerPorts.empty()) {
+    if (arguments.count("callers-to") == 0) {
         std::cout << "ready" << std::endl;
         stopSignals.wait();
         return app::exitOk;
     }
+    const auto callerPorts = arguments["callers-to"].as<std::vector<std::uint16_t>>();
     const std::chrono::seconds length{arguments["seconds"].as<int>()};
     const std::chrono::seconds down{arguments["store-down"].as<int>()};
     auto evacuated = arguments["evacuate"].as<std::vector<std::string>>();
