Bound the incomplete parts of a chunked request

Callers saw: a daemon whose memory grew by what each connection sent, until the process was killed.

Cause: Beast's request parser asks for a chunk line or a trailer as one contiguous text, and the read buffer had no bound; the header limit of the parser does not apply to them.

Change: the server reads in parts and parses each at once with RequestParser, so that the buffer holds only an incomplete header, chunk line or trailer. The parser writes into the HttpRequest, which saves a copy of headers and body, and drops the trailer's fields.

Conclusion: what one connection can make the server keep unparsed is bounded by the header limit.

--- a/include/rattandock/adapters/http_server.hpp
+++ b/include/rattandock/adapters/http_server.hpp
@@ -16,6 +16,7 @@
 struct HttpServerLimits
 {
     std::size_t maxConnections = 4096;
+    /// Request line and headers; also a chunk's line, all chunk extensions, and the trailer.
     std::uint32_t maxHeaderBytes = 16U << 10U;
     std::uint64_t maxBodyBytes = 4U << 20U;
     /// From the first byte of a request to its last.
--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -12,6 +12,7 @@
 #include <list>
 #include <optional>
 
+#include "detail/request_parser.hpp"
 #include "rattandock/adapters/io_wait.hpp"
 
 namespace rattandock::adapters {
@@ -23,25 +24,10 @@
 
 namespace {
 
-using BeastRequest = http::request<http::string_body>;
 using BeastResponse = http::response<http::string_body>;
 
-HttpRequest toRequest(BeastRequest &&from)
-{
-    HttpRequest request;
-    request.method = std::string{from.method_string()};
-    const std::string_view target{from.target().data(), from.target().size()};
-    const auto mark = target.find('?');
-    request.path = std::string{target.substr(0, mark)};
-    if (mark != std::string_view::npos) {
-        request.query = std::string{target.substr(mark + 1)};
-    }
-    for (const auto &it : from) {
-        request.headers.emplace_back(it.name_string(), it.value());
-    }
-    request.body = std::move(from.body());
-    return request;
-}
+/// Size of one read; most requests are below it.
+constexpr std::size_t readBytes = 4096;
 
 BeastResponse toBeast(HttpResponse &&from, bool keepAlive)
 {
@@ -71,7 +57,7 @@
                            "the body is larger than " + std::to_string(limits.maxBodyBytes)
                                    + " bytes"};
     }
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    if (ec == http::error::header_limit) {
         return ReadRefusal{431, "header-too-large",
                            "the headers are larger than " + std::to_string(limits.maxHeaderBytes)
                                    + " bytes"};
@@ -206,7 +192,9 @@
     bool waitForRequest(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf);
     bool serveOne(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf);
     IoEnd readRequest(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf,
-                      http::request_parser<http::string_body> &parser);
+                      detail::RequestParser &parser);
+    IoEnd readParts(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                    detail::RequestParser &parser);
     void refuse(beast::tcp_stream &stream, const ReadRefusal &refusal);
 };
 
@@ -271,12 +259,11 @@
 bool HttpServer::State::waitForRequest(std::size_t thread, beast::tcp_stream &stream,
                                        beast::flat_buffer &buf)
 {
-    constexpr std::size_t firstRead = 4096;
     auto &reading = perThread[thread].reading;
     const auto it = reading.insert(reading.end(), &stream);
     stream.expires_after(limits.idleTimeout);
     const IoEnd end =
-            awaitIo([&](auto handle) { stream.async_read_some(buf.prepare(firstRead), handle); });
+            awaitIo([&](auto handle) { stream.async_read_some(buf.prepare(readBytes), handle); });
     reading.erase(it);
     if (end.ec) {
         return false;
@@ -286,23 +273,14 @@
 }
 
 IoEnd HttpServer::State::readRequest(std::size_t thread, beast::tcp_stream &stream,
-                                     beast::flat_buffer &buf,
-                                     http::request_parser<http::string_body> &parser)
+                                     beast::flat_buffer &buf, detail::RequestParser &parser)
 {
     auto &reading = perThread[thread].reading;
     const auto it = reading.insert(reading.end(), &stream);
     const auto timer = std::make_shared<ReadTimer>(threads.io(thread), stream);
     stream.expires_never();
     timer->arm(limits.requestTimeout);
-    IoEnd end = awaitIo([&](auto handle) { http::async_read_header(stream, buf, parser, handle); });
-    if (!end.ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-        end = awaitIo(
-                [&](auto handle) { asio::async_write(stream, asio::buffer(interim), handle); });
-    }
-    if (!end.ec) {
-        end = awaitIo([&](auto handle) { http::async_read(stream, buf, parser, handle); });
-    }
+    IoEnd end = readParts(stream, buf, parser);
     timer->disarm();
     reading.erase(it);
     if (end.ec && timer->expired) {
@@ -311,12 +289,49 @@
     return end;
 }
 
+IoEnd HttpServer::State::readParts(beast::tcp_stream &stream, beast::flat_buffer &buf,
+                                   detail::RequestParser &parser)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    bool isContinued = false;
+    while (true) {
+        beast::error_code ec;
+        buf.consume(parser.put(buf.data(), ec));
+        if (ec && ec != http::error::need_more) {
+            return {ec, 0};
+        }
+        if (parser.is_done()) {
+            return {};
+        }
+        if (parser.is_header_done() && parser.expectsContinue() && !isContinued) {
+            isContinued = true;
+            const IoEnd sent = awaitIo(
+                    [&](auto handle) { asio::async_write(stream, asio::buffer(interim), handle); });
+            if (sent.ec) {
+                return sent;
+            }
+        }
+        // What the parser leaves is one incomplete part: the header, a chunk's line or the trailer.
+        if (buf.size() >= limits.maxHeaderBytes) {
+            return {http::error::header_limit, 0};
+        }
+        const IoEnd read = awaitIo(
+                [&](auto handle) { stream.async_read_some(buf.prepare(readBytes), handle); });
+        if (read.ec == asio::error::eof) {
+            parser.put_eof(ec);
+            return {ec ? ec : read.ec, 0};
+        }
+        if (read.ec) {
+            return read;
+        }
+        buf.commit(read.bytes);
+    }
+}
+
 bool HttpServer::State::serveOne(std::size_t thread, beast::tcp_stream &stream,
                                  beast::flat_buffer &buf)
 {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.maxHeaderBytes);
-    parser.body_limit(limits.maxBodyBytes);
+    detail::RequestParser parser{limits.maxHeaderBytes, limits.maxBodyBytes};
     const IoEnd read = readRequest(thread, stream, buf, parser);
     if (read.ec) {
         if (stopping) {
@@ -327,10 +342,10 @@
         }
         return false;
     }
-    const bool keepAlive = parser.get().keep_alive();
-    const bool isHead = parser.get().method() == http::verb::head;
+    const bool keepAlive = parser.keep_alive();
     stream.expires_never();
-    HttpRequest request = toRequest(parser.release());
+    HttpRequest request = parser.take();
+    const bool isHead = request.method == "HEAD";
     const auto watch = std::make_shared<CloseWatch>(stream.socket());
     request.watchClose = [watch](std::function<void()> onClosed) {
         watch->arm(std::move(onClosed));
