Bound the memory of the requests and answers of all connections together

Callers saw: a daemon that was killed for its memory while many clients held requests open, each inside the limits: 1,900 bodies a byte short took 545 MB.

Cause: a body was bounded for each connection alone, memory was taken as announced, and a body was kept while its job waited, beside the job's own copy. Many short header fields took sixteen times their size.

Change: `maxBufferedBytes` (16 MB by default) bounds what incomplete requests and untaken answers of a listener hold, but for the first 8 KB of each connection, so that ordinary requests need no room in it. At the bound the connection that has waited longest for its client is closed, with 503 `evicted`; where none waits, the request is refused at once with 503 `no-buffer-space`. A ConnectionTable for each I/O thread keeps the waits in their order. Bodies grow with what has arrived and are freed once a job is read from them. The receive buffers of accepted connections are 16 KB, which bounds what can be sent ahead. A request that arrives whole needs no timer any more.

Conclusion: the order of the waits, not the size, decides who makes room, so a client that goes on sending keeps its place.

--- a/include/rattandock/adapters/http_message.hpp
+++ b/include/rattandock/adapters/http_message.hpp
@@ -23,6 +23,9 @@
     /// Set by HttpServer: has the function called if the client closes the connection before the
     /// answer. Call at most once, from the handler's fiber; the function runs on its thread.
     std::function<void(std::function<void()> onClosed)> watchClose;
+    /// Set by HttpServer: frees the body, so that it is not kept while the handler waits. Call from
+    /// the handler's fiber.
+    std::function<void()> releaseBody;
 
     /// The first header of that name in any case, or an empty string.
     const std::string &header(std::string_view name) const;
--- a/src/rattandock/adapters/detail/request_parser.cpp
+++ b/src/rattandock/adapters/detail/request_parser.cpp
@@ -23,6 +23,12 @@
     return beast::iequals(m_request.header("Expect"), "100-continue");
 }
 
+std::size_t RequestParser::heldBytes() const
+{
+    return m_headerBytes + m_request.headers.capacity() * sizeof(HttpHeaders::value_type)
+           + m_request.body.capacity();
+}
+
 void RequestParser::on_request_impl(Verb /*verb*/, Text method, Text target, int /*version*/,
                                     ErrorCode & /*ec*/)
 {
@@ -45,6 +51,7 @@
 {
     if (!m_isHeaderDone) {
         m_request.headers.emplace_back(name, value);
+        m_headerBytes += name.size() + value.size();
     }
 }
 
@@ -64,8 +71,12 @@
     std::string &into = m_request.body;
     const std::size_t size = into.size() + body.size();
     if (size > into.capacity()) {
-        // Memory is taken as bytes arrive: the announced size of a body may never come.
-        into.reserve(std::max(size, std::min<std::size_t>(2 * into.capacity(), m_expectedBody)));
+        // Memory is taken as bytes arrive: the announced size of a body may never come. A new
+        // string has just this capacity, while reserve() of one in use at least doubles it.
+        std::string grown;
+        grown.reserve(std::max(size, std::min<std::size_t>(2 * into.capacity(), m_expectedBody)));
+        grown.append(into);
+        into.swap(grown);
     }
     into.append(body.data(), body.size());
     return body.size();
--- a/src/rattandock/adapters/detail/request_parser.hpp
+++ b/src/rattandock/adapters/detail/request_parser.hpp
@@ -20,6 +20,8 @@
 
     /// Precondition: is_header_done().
     bool expectsContinue() const;
+    /// Memory that the request takes up to here.
+    std::size_t heldBytes() const;
     /// Precondition: is_done(). Call once.
     HttpRequest take() { return std::move(m_request); }
 
@@ -48,6 +50,7 @@
     /// The announced size of the body, or the limit if none was announced.
     std::uint64_t m_expectedBody = 0;
     std::size_t m_extensionBytes = 0;
+    std::size_t m_headerBytes = 0;
     bool m_isHeaderDone = false;
 };
 
--- a/src/rattandock/adapters/http_connections_test.cpp
+++ b/src/rattandock/adapters/http_connections_test.cpp
@@ -31,7 +31,7 @@
     std::promise<unsigned> status;
     threads.spawn(0, [&] {
         auto connections = std::make_unique<HttpConnections>(4);
-        const auto reply = connections->exchange(address, {"GET", "/", {}, {}, {}, {}},
+        const auto reply = connections->exchange(address, {"GET", "/", {}, {}, {}, {}, {}},
                                                  ExchangeLimits::ofWhole(1s));
         connections.reset();
         // Longer than the interval at which deadlines are looked for.
--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/v6_only.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -9,9 +10,9 @@
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <future>
-#include <list>
 #include <optional>
 
+#include "detail/connection_table.hpp"
 #include "detail/request_parser.hpp"
 #include "rattandock/adapters/io_wait.hpp"
 
@@ -21,6 +22,9 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using detail::ConnectionTable;
+using detail::RequestParser;
+using detail::ServerConnection;
 
 namespace {
 
@@ -28,6 +32,10 @@
 
 /// Size of one read; most requests are below it.
 constexpr std::size_t readBytes = 4096;
+/// Part of a large answer whose acceptance counts as progress of the client.
+constexpr std::size_t answerPartBytes = 64U << 10U;
+/// Bounds what a client can send ahead while its request is served. The kernel doubles it.
+constexpr int receiveBufferBytes = 16 << 10;
 
 BeastResponse toBeast(HttpResponse &&from, bool keepAlive)
 {
@@ -49,8 +57,13 @@
     std::string message;
 };
 
+ReadRefusal overloadRefusal(std::string_view reason)
+{
+    return {503, reason, "there is no room for the request, which was not run"};
+}
+
 /// Nothing if the connection is gone, so that no answer can be given.
-std::optional<ReadRefusal> refusalFor(const beast::error_code &ec, const HttpServerLimits &limits)
+std::optional<ReadRefusal> refusalFor(const beast::error_code &ec, const RequestLimits &limits)
 {
     if (ec == http::error::body_limit) {
         return ReadRefusal{413, "body-too-large",
@@ -62,10 +75,15 @@
                            "the headers are larger than " + std::to_string(limits.maxHeaderBytes)
                                    + " bytes"};
     }
+    if (ec == asio::error::no_memory) {
+        return overloadRefusal("no-buffer-space");
+    }
     if (ec == beast::error::timeout) {
         return ReadRefusal{408, "slow-sender",
                            "the request was not complete after "
-                                   + std::to_string(toMilliseconds(limits.requestTimeout)) + " ms"};
+                                   + std::to_string(toMilliseconds(limits.requestTimeout))
+                                   + " ms, or its header after "
+                                   + std::to_string(toMilliseconds(limits.headerTimeout)) + " ms"};
     }
     if (ec == http::error::partial_message) {
         return ReadRefusal{400, "truncated", "the request ended before its last byte"};
@@ -77,28 +95,36 @@
     return ReadRefusal{400, "malformed", "the request is not valid HTTP/1.1: " + ec.message()};
 }
 
+BeastResponse responseTo(const ReadRefusal &refusal)
+{
+    HttpResponse answer;
+    answer.status = refusal.status;
+    if (refusal.status == 503) {
+        answer.headers.emplace_back("Retry-After", "1");
+    }
+    answer.body = std::string{R"({"error":")"} + std::string{refusal.reason} + R"(","message":")"
+                  + refusal.message + "\"}\n";
+    return toBeast(std::move(answer), false);
+}
+
 /// Ends a read after a time. The timeout of beast::tcp_stream closes the socket, so that no answer
 /// could follow; this one only cancels the read. Used on one thread.
 struct ReadTimer : std::enable_shared_from_this<ReadTimer>
 {
-    ReadTimer(asio::io_context &io, beast::tcp_stream &of)
-        : timer(io)
+    explicit ReadTimer(beast::tcp_stream &of)
+        : timer(of.get_executor())
         , stream(&of)
     {
     }
 
-    void arm(Duration after)
+    /// Sets the limit, counted from the construction. Most requests arrive in one piece and need no
+    /// timer.
+    void expireAt(Duration afterBegin)
     {
-        timer.expires_after(after);
-        timer.async_wait([self = shared_from_this()](const beast::error_code &ec) {
-            if (ec || self->stream == nullptr) {
-                return;
-            }
-            self->expired = true;
-            self->stream->cancel();
-            // A read that had just ended is followed by another one, which is cancelled then.
-            self->arm(std::chrono::milliseconds{10});
-        });
+        if (afterBegin != limit) {
+            limit = afterBegin;
+            arm(began + afterBegin);
+        }
     }
     void disarm()
     {
@@ -108,7 +134,24 @@
 
     asio::steady_timer timer;
     beast::tcp_stream *stream;
+    const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    Duration limit{};
     bool expired = false;
+
+private:
+    void arm(std::chrono::steady_clock::time_point at)
+    {
+        timer.expires_at(at);
+        timer.async_wait([self = shared_from_this()](const beast::error_code &ec) {
+            if (ec || self->stream == nullptr) {
+                return;
+            }
+            self->expired = true;
+            self->stream->cancel();
+            // A read that had just ended is followed by another one, which is cancelled then.
+            self->arm(std::chrono::steady_clock::now() + std::chrono::milliseconds{10});
+        });
+    }
 };
 
 /// Sees the end of a connection while its request is being handled. Used on one thread.
@@ -159,10 +202,11 @@
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
 {
     /// One per I/O thread; touched by that thread only.
-    struct Connections
+    struct PerThread
     {
-        /// Connections whose request is not complete; stop() closes them.
-        std::list<beast::tcp_stream *> reading;
+        ConnectionTable connections;
+        /// Those of requests that begin from now on.
+        RequestLimits limits;
     };
 
     State(IoThreads &owner, HttpServerLimits bounds, HttpHandler serve, BadRequestObserver observe)
@@ -171,8 +215,12 @@
         , handler(std::move(serve))
         , observer(std::move(observe))
         , acceptor(owner.io(0))
-        , perThread(owner.count())
+        , budget(std::max<std::size_t>(bounds.maxBufferedBytes,
+                                       bounds.maxBodyBytes + bounds.maxHeaderBytes))
     {
+        for (std::size_t n = 0; n < owner.count(); ++n) {
+            perThread.push_back({ConnectionTable{budget}, bounds});
+        }
     }
 
     IoThreads &threads;
@@ -180,22 +228,29 @@
     const HttpHandler handler;
     const BadRequestObserver observer;
     tcp::acceptor acceptor;
-    std::vector<Connections> perThread;
+    detail::BufferBudget budget;
+    std::vector<PerThread> perThread;
     std::atomic<std::size_t> open = 0;
     /// Each answer ends its connection.
     std::atomic<bool> closing = false;
     std::atomic<bool> stopping = false;
 
     void acceptLoop();
-    void serve(std::size_t thread, tcp::socket socket);
-    void serveRequests(std::size_t thread, beast::tcp_stream &stream);
-    bool waitForRequest(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf);
-    bool serveOne(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf);
-    IoEnd readRequest(std::size_t thread, beast::tcp_stream &stream, beast::flat_buffer &buf,
-                      detail::RequestParser &parser);
-    IoEnd readParts(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                    detail::RequestParser &parser);
-    void refuse(beast::tcp_stream &stream, const ReadRefusal &refusal);
+    void serve(PerThread &thread, tcp::socket socket);
+    bool admit(PerThread &thread);
+    void serveRequests(PerThread &thread, ServerConnection &connection);
+    bool waitForRequest(PerThread &thread, ServerConnection &connection);
+    bool serveOne(PerThread &thread, ServerConnection &connection);
+    beast::error_code readRequest(PerThread &thread, ServerConnection &connection,
+                                  const RequestLimits &bounds, RequestParser &parser);
+    beast::error_code readParts(ConnectionTable &connections, ServerConnection &connection,
+                                const RequestLimits &bounds, RequestParser &parser,
+                                ReadTimer &timer);
+    bool answer(PerThread &thread, ServerConnection &connection, HttpRequest request,
+                bool keepAlive);
+    bool send(PerThread &thread, ServerConnection &connection, BeastResponse &response);
+    void refuse(PerThread &thread, ServerConnection &connection, const ReadRefusal &refusal);
+    static void refuseAtOnce(ServerConnection &connection, std::string_view reason);
 };
 
 void HttpServer::State::acceptLoop()
@@ -220,51 +275,63 @@
             awaitIo([&pause](auto handle) { pause.async_wait(handle); });
             continue;
         }
-        if (open >= limits.maxConnections) {
-            observer("too-many-connections");
-            continue;
-        }
         ++open;
         threads.spawn(thread,
                       [self = shared_from_this(), thread,
                        socket = std::make_shared<tcp::socket>(std::move(*accepted))]() mutable {
-                          self->serve(thread, std::move(*socket));
+                          self->serve(self->perThread[thread], std::move(*socket));
                           --self->open;
                       });
     }
 }
 
-void HttpServer::State::serve(std::size_t thread, tcp::socket socket)
+void HttpServer::State::serve(PerThread &thread, tcp::socket socket)
 {
-    beast::error_code ec;
-    socket.set_option(tcp::no_delay(true), ec);
-    beast::tcp_stream stream{std::move(socket)};
-    serveRequests(thread, stream);
-    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    ServerConnection connection{std::move(socket)};
+    if (admit(thread)) {
+        beast::error_code ec;
+        connection.stream.socket().set_option(tcp::no_delay(true), ec);
+        serveRequests(thread, connection);
+        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    } else {
+        observer("too-many-connections");
+        refuseAtOnce(connection, "too-many-connections");
+    }
+    if (connection.isEvicted) {
+        observer("evicted");
+    }
+    thread.connections.remove(connection);
 }
 
-void HttpServer::State::serveRequests(std::size_t thread, beast::tcp_stream &stream)
+bool HttpServer::State::admit(PerThread &thread)
+{
+    return open <= limits.maxConnections + thread.connections.evicting();
+}
+
+void HttpServer::State::serveRequests(PerThread &thread, ServerConnection &connection)
 {
-    beast::flat_buffer buf;
     while (!stopping) {
-        if (buf.size() == 0 && !waitForRequest(thread, stream, buf)) {
+        if (connection.buf.size() == 0 && !waitForRequest(thread, connection)) {
             return;
         }
-        if (!serveOne(thread, stream, buf)) {
+        if (!serveOne(thread, connection)) {
             return;
         }
     }
 }
 
-bool HttpServer::State::waitForRequest(std::size_t thread, beast::tcp_stream &stream,
-                                       beast::flat_buffer &buf)
+bool HttpServer::State::waitForRequest(PerThread &thread, ServerConnection &connection)
 {
-    auto &reading = perThread[thread].reading;
-    const auto it = reading.insert(reading.end(), &stream);
-    stream.expires_after(limits.idleTimeout);
-    const IoEnd end =
-            awaitIo([&](auto handle) { stream.async_read_some(buf.prepare(readBytes), handle); });
-    reading.erase(it);
+    beast::tcp_stream &stream = connection.stream;
+    beast::flat_buffer &buf = connection.buf;
+    if (buf.capacity() > readBytes) {
+        buf.shrink_to_fit();
+    }
+    thread.connections.charge(connection, buf.capacity());
+    stream.expires_after(thread.limits.idleTimeout);
+    const IoEnd end = thread.connections.awaitClient(connection, [&](auto handle) {
+        stream.async_read_some(buf.prepare(readBytes), handle);
+    });
     if (end.ec) {
         return false;
     }
@@ -272,129 +339,177 @@
     return true;
 }
 
-IoEnd HttpServer::State::readRequest(std::size_t thread, beast::tcp_stream &stream,
-                                     beast::flat_buffer &buf, detail::RequestParser &parser)
+beast::error_code HttpServer::State::readRequest(PerThread &thread, ServerConnection &connection,
+                                                 const RequestLimits &bounds, RequestParser &parser)
 {
-    auto &reading = perThread[thread].reading;
-    const auto it = reading.insert(reading.end(), &stream);
-    const auto timer = std::make_shared<ReadTimer>(threads.io(thread), stream);
-    stream.expires_never();
-    timer->arm(limits.requestTimeout);
-    IoEnd end = readParts(stream, buf, parser);
+    const auto timer = std::make_shared<ReadTimer>(connection.stream);
+    connection.stream.expires_never();
+    beast::error_code ec = readParts(thread.connections, connection, bounds, parser, *timer);
     timer->disarm();
-    reading.erase(it);
-    if (end.ec && timer->expired) {
-        end.ec = beast::error::timeout;
+    if (ec && timer->expired) {
+        ec = beast::error::timeout;
     }
-    return end;
+    return ec;
 }
 
-IoEnd HttpServer::State::readParts(beast::tcp_stream &stream, beast::flat_buffer &buf,
-                                   detail::RequestParser &parser)
+beast::error_code HttpServer::State::readParts(ConnectionTable &connections,
+                                               ServerConnection &connection,
+                                               const RequestLimits &bounds, RequestParser &parser,
+                                               ReadTimer &timer)
 {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    beast::tcp_stream &stream = connection.stream;
+    beast::flat_buffer &buf = connection.buf;
     bool isContinued = false;
     while (true) {
         beast::error_code ec;
         buf.consume(parser.put(buf.data(), ec));
         if (ec && ec != http::error::need_more) {
-            return {ec, 0};
+            return ec;
+        }
+        if (!connections.charge(connection, buf.capacity() + parser.heldBytes())) {
+            return asio::error::no_memory;
         }
-        if (parser.is_done()) {
+        if (parser.is_done() || stopping) {
             return {};
         }
+        timer.expireAt(parser.is_header_done() ? bounds.requestTimeout : bounds.headerTimeout);
         if (parser.is_header_done() && parser.expectsContinue() && !isContinued) {
             isContinued = true;
-            const IoEnd sent = awaitIo(
-                    [&](auto handle) { asio::async_write(stream, asio::buffer(interim), handle); });
+            const IoEnd sent = connections.awaitClient(connection, [&](auto handle) {
+                asio::async_write(stream, asio::buffer(interim), handle);
+            });
             if (sent.ec) {
-                return sent;
+                return sent.ec;
             }
         }
         // What the parser leaves is one incomplete part: the header, a chunk's line or the trailer.
-        if (buf.size() >= limits.maxHeaderBytes) {
-            return {http::error::header_limit, 0};
+        if (buf.size() >= bounds.maxHeaderBytes) {
+            return http::error::header_limit;
         }
-        const IoEnd read = awaitIo(
-                [&](auto handle) { stream.async_read_some(buf.prepare(readBytes), handle); });
+        const IoEnd read = connections.awaitClient(connection, [&](auto handle) {
+            stream.async_read_some(buf.prepare(readBytes), handle);
+        });
         if (read.ec == asio::error::eof) {
             parser.put_eof(ec);
-            return {ec ? ec : read.ec, 0};
+            return ec ? ec : read.ec;
         }
         if (read.ec) {
-            return read;
+            return read.ec;
         }
         buf.commit(read.bytes);
     }
 }
 
-bool HttpServer::State::serveOne(std::size_t thread, beast::tcp_stream &stream,
-                                 beast::flat_buffer &buf)
+bool HttpServer::State::serveOne(PerThread &thread, ServerConnection &connection)
 {
-    detail::RequestParser parser{limits.maxHeaderBytes, limits.maxBodyBytes};
-    const IoEnd read = readRequest(thread, stream, buf, parser);
-    if (read.ec) {
-        if (stopping) {
-            return false;
-        }
-        if (const auto refusal = refusalFor(read.ec, limits)) {
-            refuse(stream, *refusal);
-        }
-        return false;
+    const RequestLimits bounds = thread.limits;
+    std::optional<RequestParser> parser{std::in_place, bounds.maxHeaderBytes, bounds.maxBodyBytes};
+    const beast::error_code ec = readRequest(thread, connection, bounds, *parser);
+    if (!ec && parser->is_done()) {
+        const bool keepAlive = parser->keep_alive();
+        HttpRequest request = parser->take();
+        parser.reset();
+        return answer(thread, connection, std::move(request), keepAlive);
+    }
+    parser.reset();
+    connection.buf = {};
+    thread.connections.charge(connection, 0);
+    if (connection.isEvicted) {
+        refuseAtOnce(connection, "evicted");
+    } else if (const auto refusal = refusalFor(ec, bounds); refusal && !stopping) {
+        refuse(thread, connection, *refusal);
     }
-    const bool keepAlive = parser.keep_alive();
-    stream.expires_never();
-    HttpRequest request = parser.take();
-    const bool isHead = request.method == "HEAD";
-    const auto watch = std::make_shared<CloseWatch>(stream.socket());
+    return false;
+}
+
+bool HttpServer::State::answer(PerThread &thread, ServerConnection &connection, HttpRequest request,
+                               bool keepAlive)
+{
+    tcp::socket &socket = connection.stream.socket();
+    const auto watch = std::make_shared<CloseWatch>(socket);
     request.watchClose = [watch](std::function<void()> onClosed) {
         watch->arm(std::move(onClosed));
     };
+    request.releaseBody = [&] {
+        std::string{}.swap(request.body);
+        thread.connections.charge(connection, connection.buf.capacity());
+    };
+    connection.stream.expires_never();
     HttpResponse served = handler(request);
     watch->disarm();
     if (served.resetConnection) {
         // A linger time of zero makes close() send a reset.
         beast::error_code ec;
-        stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
-        stream.socket().close(ec);
+        socket.set_option(asio::socket_base::linger(true, 0), ec);
+        socket.close(ec);
         return false;
     }
-    if (isHead) {
+    if (request.method == "HEAD") {
         // An answer to HEAD has no body; without this the next answer would be misread.
         served.body.clear();
     }
+    request = {};
     BeastResponse response = toBeast(std::move(served), keepAlive && !closing && !stopping);
-    stream.expires_after(limits.requestTimeout);
-    const IoEnd written =
-            awaitIo([&](auto handle) { http::async_write(stream, response, handle); });
-    return !written.ec && response.keep_alive();
+    thread.connections.chargeAnyway(connection,
+                                    connection.buf.capacity() + response.body().capacity());
+    return send(thread, connection, response) && response.keep_alive();
 }
 
-void HttpServer::State::refuse(beast::tcp_stream &stream, const ReadRefusal &refusal)
+bool HttpServer::State::send(PerThread &thread, ServerConnection &connection,
+                             BeastResponse &response)
+{
+    connection.stream.expires_after(thread.limits.requestTimeout);
+    http::response_serializer<http::string_body> serializer{response};
+    // In parts, so that a client that takes its answer slowly makes progress.
+    serializer.limit(answerPartBytes);
+    while (!serializer.is_done()) {
+        const IoEnd end = thread.connections.awaitClient(connection, [&](auto handle) {
+            http::async_write_some(connection.stream, serializer, handle);
+        });
+        if (end.ec) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void HttpServer::State::refuse(PerThread &thread, ServerConnection &connection,
+                               const ReadRefusal &refusal)
 {
     observer(refusal.reason);
-    HttpResponse answer;
-    answer.status = refusal.status;
-    answer.body = std::string{R"({"error":")"} + std::string{refusal.reason} + R"(","message":")"
-                  + refusal.message + "\"}\n";
-    BeastResponse response = toBeast(std::move(answer), false);
-    stream.expires_after(limits.requestTimeout);
-    awaitIo([&](auto handle) { http::async_write(stream, response, handle); });
+    BeastResponse response = responseTo(refusal);
+    if (!send(thread, connection, response)) {
+        return;
+    }
     // Reads what the sender still sends for a moment; a reset would discard the answer.
+    beast::tcp_stream &stream = connection.stream;
     beast::error_code ec;
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     stream.expires_after(std::chrono::milliseconds{200});
     std::array<char, 4096> discarded{};
     constexpr int maxReads = 256;
     for (int n = 0; n < maxReads; ++n) {
-        const IoEnd end = awaitIo(
-                [&](auto handle) { stream.async_read_some(asio::buffer(discarded), handle); });
+        const IoEnd end = thread.connections.awaitClient(connection, [&](auto handle) {
+            stream.async_read_some(asio::buffer(discarded), handle);
+        });
         if (end.ec) {
             return;
         }
     }
 }
 
+/// Without a wait, as the connection's place is needed: the answer is lost if the socket takes no
+/// bytes, or if the client still sends.
+void HttpServer::State::refuseAtOnce(ServerConnection &connection, std::string_view reason)
+{
+    beast::error_code ec;
+    connection.stream.socket().non_blocking(true, ec);
+    BeastResponse response = responseTo(overloadRefusal(reason));
+    http::write(connection.stream.socket(), response, ec);
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
 IoResult<std::unique_ptr<HttpServer>>
 HttpServer::listen(IoThreads &threads, const tcp::endpoint &endpoint, HttpServerLimits limits,
                    HttpHandler handler, BadRequestObserver observer)
@@ -407,6 +522,9 @@
         acceptor.set_option(asio::socket_base::reuse_address(true), ec);
     }
     if (!ec) {
+        // Accepted connections inherit it.
+        beast::error_code ignored;
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
         acceptor.bind(endpoint, ec);
     }
     if (!ec) {
@@ -436,6 +554,19 @@
     return m_state->open;
 }
 
+std::size_t HttpServer::bufferedBytes() const
+{
+    return m_state->budget.usedBytes;
+}
+
+void HttpServer::setRequestLimits(const RequestLimits &limits)
+{
+    for (std::size_t n = 0; n < m_state->threads.count(); ++n) {
+        m_state->threads.spawn(
+                n, [state = m_state, n, limits] { state->perThread[n].limits = limits; });
+    }
+}
+
 void HttpServer::closeAfterAnswers()
 {
     m_state->closing = true;
@@ -451,10 +582,7 @@
             if (n == 0) {
                 state->acceptor.close(ec);
             }
-            for (beast::tcp_stream *it : state->perThread[n].reading) {
-                // Unlike a cancellation, this also ends reads that begin later.
-                it->socket().shutdown(tcp::socket::shutdown_receive, ec);
-            }
+            state->perThread[n].connections.shutDownReads();
             closed.set_value();
         });
         closed.get_future().wait();
--- a/src/rattandock/app/caller_api.cpp
+++ b/src/rattandock/app/caller_api.cpp
@@ -108,6 +108,9 @@
     if (!job) {
         return refuse(400, "bad-job", job.error());
     }
+    if (request.releaseBody) {
+        request.releaseBody();
+    }
     const bool knowsTeam = m_routing.read(
             [&job](const RoutingSnapshot &it) { return it.knows(job.value().team); });
     if (!knowsTeam) {
--- a/src/rattandock/app/fleet_api.cpp
+++ b/src/rattandock/app/fleet_api.cpp
@@ -106,6 +106,9 @@
             "job refused reason=bad-job (" + describe(submission.error()) + ')', id.value());
         return m_format.encodeBadSubmission(submission.error());
     }
+    if (request.releaseBody) {
+        request.releaseBody();
+    }
     const Duration wait = m_format.callerWaitOf(request, m_callerWait);
     auto job = fleet::toFleetJob(submission.value(), queue, wait);
     if (const auto *const unsupported = std::get_if<fleet::Unsupported>(&job)) {
