Close the connection that is idle longest when connections run out

Callers saw: connections that were closed without an answer for as long as `maxConnections` idle clients stayed, up to the idle timeout of 60 s, and then anew.

Cause: a listener at its bound closed each further connection, whoever held the others.

Change: for a further connection, the one that has waited longest for its client is closed.

HttpServerTest has a case with three connections.

Conclusion: an ordinary caller sends at once and so has never waited longest; a kept-alive connection may be closed while it is idle, as HTTP allows.

--- a/include/rattandock/adapters/http_server.hpp
+++ b/include/rattandock/adapters/http_server.hpp
@@ -28,6 +28,8 @@
 /// Bounds of all connections together.
 struct HttpServerLimits : RequestLimits
 {
+    /// At this bound, the connection that has waited longest for its client is closed for a new
+    /// one.
     std::size_t maxConnections = 4096;
     /// Requests and answers that are incomplete, but for the first 8 KB of each connection; at
     /// least one request of the largest size. At this bound, the connection that has waited longest
--- a/src/rattandock/adapters/detail/connection_table.cpp
+++ b/src/rattandock/adapters/detail/connection_table.cpp
@@ -77,6 +77,19 @@
     }
 }
 
+bool ConnectionTable::evictOne()
+{
+    if (m_charged.empty() && m_uncharged.empty()) {
+        return false;
+    }
+    const bool isChargedOlder =
+            !m_charged.empty()
+            && (m_uncharged.empty()
+                || m_charged.front().waitNumber < m_uncharged.front().waitNumber);
+    evict(isChargedOlder ? m_charged : m_uncharged);
+    return true;
+}
+
 void ConnectionTable::evict(List &from)
 {
     ServerConnection &connection = from.front();
--- a/src/rattandock/adapters/detail/connection_table.hpp
+++ b/src/rattandock/adapters/detail/connection_table.hpp
@@ -75,6 +75,8 @@
     /// The connection has ended. Precondition: it does not wait.
     void remove(ServerConnection &connection);
 
+    /// Makes room for another connection; false if none waits for its client.
+    bool evictOne();
     /// Evicted connections whose fibers have not ended.
     std::size_t evicting() const { return m_evicting; }
 
--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -305,7 +305,8 @@
 
 bool HttpServer::State::admit(PerThread &thread)
 {
-    return open <= limits.maxConnections + thread.connections.evicting();
+    return open <= limits.maxConnections + thread.connections.evicting()
+           || thread.connections.evictOne();
 }
 
 void HttpServer::State::serveRequests(PerThread &thread, ServerConnection &connection)
--- a/src/rattandock/adapters/http_server_test.cpp
+++ b/src/rattandock/adapters/http_server_test.cpp
@@ -149,6 +149,24 @@
     }
 }
 
+// Guards against idle clients that take all connections and keep others out.
+BOOST_AUTO_TEST_CASE(closesTheConnectionThatIsIdleLongestForANewOne)
+{
+    HttpServerLimits limits;
+    limits.maxConnections = 3;
+    Fixture fixture{limits};
+    std::vector<std::unique_ptr<Client>> idle;
+    for (int n = 0; n < 20; ++n) {
+        idle.push_back(std::make_unique<Client>(fixture));
+    }
+    Client client{fixture};
+    client.send(post(10, 10));
+    BOOST_TEST(isAnswer(client.receive(), 200));
+    BOOST_TEST(idle.front()->receive().empty());
+    BOOST_TEST(fixture.seen("evicted") >= 1U);
+    BOOST_TEST(fixture.seen("too-many-connections") == 0U);
+}
+
 // Guards against a trailer, a chunk's line or chunk extensions that grow without a bound.
 BOOST_AUTO_TEST_CASE(refusesPartsAboveTheHeaderLimit)
 {
