Give the operator listener its own, smaller limits

Operators saw: a VM without descriptors for upstreams while idle clients filled both listeners, and a VM that was killed for its memory while clients of the operator listener did not take large answers.

Cause: each listener had `maxConnections` connections: 4,000 on the platform's VMs, which give 3,900 to sockets. Answers had no bound together, and each request for the configuration wrote a text of its own beside the others.

Change: `maxOperatorConnections` (64 by default) bounds the operator listener. On a VM of a fleet it buffers 4 MB and reads bodies up to 64 KB, as no route takes one.

Conclusion: operators and the platform's readiness check use a handful of connections; the bound leaves room for them, as idle ones make room.

--- a/include/rattandock/adapters/settings.hpp
+++ b/include/rattandock/adapters/settings.hpp
@@ -59,6 +59,8 @@
     std::size_t ioThreads = 2;
     LogLevel logLevel = LogLevel::Info;
     HttpServerLimits http;
+    /// Separate from those of callers, so that both together stay within the VM's descriptors.
+    std::size_t maxOperatorConnections = 64;
     JobLimits jobs;
     UpstreamClientOptions upstreamClient;
     core::DispatcherOptions dispatcher;
--- a/include/rattandock/app/fleet_api.hpp
+++ b/include/rattandock/app/fleet_api.hpp
@@ -49,7 +49,7 @@
     adapters::HttpResponse metrics();
     adapters::HttpResponse status() const;
     adapters::HttpResponse explain(const JobId &id) const;
-    adapters::HttpResponse configuration() const;
+    adapters::HttpResponse configuration();
     bool isReady() const;
 
     FleetLoop &m_loop;
@@ -62,6 +62,8 @@
     /// replaced.
     std::shared_ptr<const fleet::FleetConfig> m_config;
     TimePoint m_startedAt;
+    /// One text at a time: each takes megabytes, and its fiber is suspended in between.
+    bool m_isWritingConfiguration = false;
     bool m_isDraining = false;
 };
 
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -147,6 +147,7 @@
 {
     HttpServerLimits &http = settings.http;
     readInteger(reader, "maxConnections", 1, 100'000, http.maxConnections);
+    readInteger(reader, "maxOperatorConnections", 1, 100'000, settings.maxOperatorConnections);
     readInteger(reader, "maxBufferedBytes", 1 << 20, 1LL << 34U, http.maxBufferedBytes);
     readInteger(reader, "maxHeaderBytes", 1024, 1 << 20, http.maxHeaderBytes);
     readInteger(reader, "maxBodyBytes", 1024, 64 << 20, http.maxBodyBytes);
--- a/src/rattandock/app/daemon.cpp
+++ b/src/rattandock/app/daemon.cpp
@@ -205,20 +205,23 @@
         it.metrics.count("bad_requests", reason);
     };
     // The routes use both servers, so each is in its place before a request can need it.
-    const auto listen = [&](const char *key, const auto &address, auto handler, auto &into) {
-        auto server = HttpServer::listen(it.threads, address, settings.http, handler, badRequest);
+    const auto listen = [&](const char *key, const auto &address, const auto &limits, auto handler,
+                            auto &into) {
+        auto server = HttpServer::listen(it.threads, address, limits, handler, badRequest);
         if (!server) {
             findings.add(key, server.error().message());
         } else {
             into = std::move(server.value());
         }
     };
+    adapters::HttpServerLimits operatorLimits = settings.http;
+    operatorLimits.maxConnections = settings.maxOperatorConnections;
     listen(
-            "callerAddress", settings.callerAddress,
+            "callerAddress", settings.callerAddress, settings.http,
             [&it](const auto &request) { return it.callerApi.serve(request); }, it.callerServer);
     if (it.callerServer) {
         listen(
-                "operatorAddress", settings.operatorAddress,
+                "operatorAddress", settings.operatorAddress, operatorLimits,
                 [&it](const auto &request) { return it.operatorApi.serve(request); },
                 it.operatorServer);
         it.operatorView = it.operatorServer.get();
--- a/src/rattandock/app/fleet_api.cpp
+++ b/src/rattandock/app/fleet_api.cpp
@@ -212,14 +212,18 @@
                        {"decisions", std::move(decisions)}});
 }
 
-HttpResponse FleetApi::configuration() const
+HttpResponse FleetApi::configuration()
 {
+    if (m_isWritingConfiguration) {
+        return {503, "{\"error\":\"busy\"}\n", {{"Retry-After", "1"}}};
+    }
     // The fiber is suspended below, and meanwhile another configuration can come into force.
     const auto config = m_config;
     if (!config) {
         return reply(404, {{"error", "no-configuration"}});
     }
     ConfigurationWriter writer{config->version};
+    m_isWritingConfiguration = true;
     std::size_t n = 0;
     for (const fleet::QueueSpec &it : config->queues) {
         if (++n % queuesPerTurn == 0) {
@@ -227,6 +231,7 @@
         }
         writer.add(it);
     }
+    m_isWritingConfiguration = false;
     return {200, writer.finish(), {}};
 }
 
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <map>
@@ -30,6 +31,10 @@
 constexpr std::size_t maxIdleConnections = 8;
 /// A stop that has not ended this long after its limit ends all the same.
 constexpr Duration stopReserve = std::chrono::milliseconds{500};
+/// The routes for operators take no bodies.
+constexpr std::uint64_t maxOperatorBodyBytes = 64U << 10U;
+/// A few answers of the largest size, as operators take them at once.
+constexpr std::size_t maxOperatorBufferedBytes = 4U << 20U;
 constexpr TimePoint notDraining = TimePoint::min();
 
 std::uint64_t randomNumber()
@@ -66,6 +71,15 @@
             fleet::ownMessageLevel};
 }
 
+adapters::HttpServerLimits operatorLimits(const adapters::Settings &settings)
+{
+    adapters::HttpServerLimits limits = settings.http;
+    limits.maxConnections = settings.maxOperatorConnections;
+    limits.maxBodyBytes = std::min(limits.maxBodyBytes, maxOperatorBodyBytes);
+    limits.maxBufferedBytes = std::min(limits.maxBufferedBytes, maxOperatorBufferedBytes);
+    return limits;
+}
+
 } // namespace
 
 struct FleetDaemon::Parts
@@ -197,8 +211,9 @@
     const auto badRequest = [this](std::string_view reason) {
         metrics.count("bad_requests", reason);
     };
-    const auto bind = [&](const char *key, const auto &address, auto handler, auto &into) {
-        auto server = HttpServer::listen(threads, address, settings.http, handler, badRequest);
+    const auto bind = [&](const char *key, const auto &address, const auto &limits, auto handler,
+                          auto &into) {
+        auto server = HttpServer::listen(threads, address, limits, handler, badRequest);
         if (!server) {
             findings.add(key, server.error().message());
         } else {
@@ -206,10 +221,10 @@
         }
     };
     bind(
-            "callerAddress", settings.callerAddress,
+            "callerAddress", settings.callerAddress, settings.http,
             [this](const auto &request) { return api.serveCaller(request); }, callerServer);
     bind(
-            "operatorAddress", settings.operatorAddress,
+            "operatorAddress", settings.operatorAddress, operatorLimits(settings),
             [this](const auto &request) { return api.serveOperator(request); }, operatorServer);
 }
 
