Apply the limits of requests that the operator configures

Callers saw: bodies above the configuration's `max_body_bytes` that were read and served, and headers and idle connections that were given more time than configured.

Cause: `limits` of the configuration was checked and never read.

Change: the configuration carries CallerLimits to the caller listener, where they lower those of the settings for requests that begin later.

Conclusion: the settings protect the VM's memory and stay the upper bound.

--- a/include/rattandock/app/fleet_api.hpp
+++ b/include/rattandock/app/fleet_api.hpp
@@ -38,6 +38,11 @@
 
     /// Puts a configuration in force; one that is not newer is ignored.
     void configure(fleet::FleetConfig config);
+    /// The limits of the configuration in force; none before the first one.
+    fleet::CallerLimits callerLimits() const
+    {
+        return m_config ? m_config->limits : fleet::CallerLimits{};
+    }
     adapters::HttpResponse serveCaller(const adapters::HttpRequest &request);
     adapters::HttpResponse serveOperator(const adapters::HttpRequest &request);
     /// From now on not ready.
--- a/include/rattandock/fleet/fleet_config.hpp
+++ b/include/rattandock/fleet/fleet_config.hpp
@@ -8,6 +8,7 @@
 
 #include "rattandock/base/ids.hpp"
 #include "rattandock/base/time.hpp"
+#include "rattandock/fleet/caller_limits.hpp"
 #include "rattandock/fleet/fleet_job.hpp"
 
 namespace rattandock::fleet {
@@ -39,6 +40,7 @@
 {
     ConfigurationVersion version;
     std::vector<QueueSpec> queues;
+    CallerLimits limits{};
 
     /// Returns the queue of the host with the longest prefix that matches the path, or `nullptr` if
     /// no queue matches.
--- a/scripts/hostile-clients.py
+++ b/scripts/hostile-clients.py
@@ -449,13 +449,23 @@
     return []
 
 
+# Guards against limits of the configuration that are checked and not applied.
+def body_over_the_configured_limit(world):
+    body = job() + b" " * (MAX_BODY_BYTES + 1 - len(job()))
+    status = world.answer(world.port, "POST", path(1), body)
+    if status != 413:
+        world.problems.append(f"a body over the configuration's limit was answered {status}")
+    return []
+
+
 TESTS = [endless_trailers, endless_chunk_extensions, endless_chunk_sizes, announced_bodies_a_byte_short,
          large_chunks_a_byte_short, small_chunks_a_byte_short, small_chunks_with_extensions,
          announced_bodies_over_the_limit, chunked_bodies_over_the_limit, many_header_fields,
          headers_a_byte_short, requests_sent_ahead, operator_answers_not_taken,
          operator_bodies_a_byte_short, idle_connections, idle_connections_of_both_listeners,
          bodies_of_many_values, jobs_with_long_texts, jobs_with_long_ids,
-         peer_messages_a_byte_short, peer_streams_without_end, large_requests_in_calm]
+         peer_messages_a_byte_short, peer_streams_without_end, large_requests_in_calm,
+         body_over_the_configured_limit]
 # Queues of the configuration, where an answer must be large.
 QUEUES = {operator_answers_not_taken: 2000}
 
--- a/src/rattandock/adapters/http_server_test.cpp
+++ b/src/rattandock/adapters/http_server_test.cpp
@@ -167,6 +167,21 @@
     BOOST_TEST(fixture.seen("too-many-connections") == 0U);
 }
 
+// Guards against limits that are replaced and not applied.
+BOOST_AUTO_TEST_CASE(appliesNewLimitsToTheNextRequest)
+{
+    Fixture fixture;
+    RequestLimits limits;
+    limits.maxBodyBytes = 99;
+    fixture.server->setRequestLimits(limits);
+    Client large{fixture};
+    large.send(post(100, 100));
+    BOOST_TEST(isAnswer(large.receive(), 413));
+    Client client{fixture};
+    client.send(post(99, 99));
+    BOOST_TEST(isAnswer(client.receive(), 200));
+}
+
 // Guards against a trailer, a chunk's line or chunk extensions that grow without a bound.
 BOOST_AUTO_TEST_CASE(refusesPartsAboveTheHeaderLimit)
 {
--- a/src/rattandock/adapters/settings.cpp
+++ b/src/rattandock/adapters/settings.cpp
@@ -151,6 +151,7 @@
     readInteger(reader, "maxBufferedBytes", 1 << 20, 1LL << 34U, http.maxBufferedBytes);
     readInteger(reader, "maxHeaderBytes", 1024, 1 << 20, http.maxHeaderBytes);
     readInteger(reader, "maxBodyBytes", 1024, 64 << 20, http.maxBodyBytes);
+    readMilliseconds(reader, "headerTimeoutMs", 100, maxHourMs, http.headerTimeout);
     readMilliseconds(reader, "requestTimeoutMs", 100, maxHourMs, http.requestTimeout);
     readMilliseconds(reader, "idleTimeoutMs", 100, maxHourMs, http.idleTimeout);
     readInteger(reader, "maxTasks", 1, 10'000, settings.jobs.maxTasks);
--- a/src/rattandock/app/fleet_daemon.cpp
+++ b/src/rattandock/app/fleet_daemon.cpp
@@ -80,6 +80,23 @@
     return limits;
 }
 
+/// The settings' limits, lowered to those that the operator configured.
+adapters::RequestLimits requestLimits(const adapters::Settings &settings,
+                                      const fleet::CallerLimits &configured)
+{
+    adapters::RequestLimits limits = settings.http;
+    const auto lower = [](auto &limit, auto to) {
+        if (to > decltype(to){}) {
+            limit = std::min<std::remove_reference_t<decltype(limit)>>(limit, to);
+        }
+    };
+    lower(limits.maxHeaderBytes, configured.maxHeaderBytes);
+    lower(limits.maxBodyBytes, configured.maxBodyBytes);
+    lower(limits.headerTimeout, configured.headerTimeout);
+    lower(limits.idleTimeout, configured.idleTimeout);
+    return limits;
+}
+
 } // namespace
 
 struct FleetDaemon::Parts
@@ -111,6 +128,7 @@
         done.get_future().wait();
     }
     void listen(Findings &findings);
+    void configure(fleet::FleetConfig config);
     void startPeers(Findings &findings);
     void followMembers(const std::vector<fleet::MemberRow> &rows);
     core::Heartbeat heartbeat();
@@ -228,6 +246,12 @@
             [this](const auto &request) { return api.serveOperator(request); }, operatorServer);
 }
 
+void FleetDaemon::Parts::configure(fleet::FleetConfig config)
+{
+    api.configure(std::move(config));
+    callerServer->setRequestLimits(requestLimits(settings, api.callerLimits()));
+}
+
 Checked<std::unique_ptr<FleetDaemon>> FleetDaemon::start(const adapters::Settings &settings,
                                                          const PlatformAdapters &platform)
 {
@@ -252,7 +276,7 @@
                        [&it](std::uint64_t version) { return it.sync.changesSince(version); },
                        [&it] { return it.heartbeat(); }, [&it] { it.sync.hurryBeat(); },
                        [&it] { it.peers->resetConnections(); }});
-        it.sync.start([&it](fleet::FleetConfig config) { it.api.configure(std::move(config)); },
+        it.sync.start([&it](fleet::FleetConfig config) { it.configure(std::move(config)); },
                       [&it](const auto &rows) { it.followMembers(rows); });
     });
     log(LogLevel::Info, LogPart::Daemon,
