Bound the tasks and the unconfirmed start orders of small requests

Callers saw: a VM that stopped answering after 290 requests of 100 bytes, each for 10,000 tasks without needs: 808 MB and all 20,000 descriptors.

Cause: a task takes memory as soon as its job is admitted, and only capacity limited the starts. A task that needs no resources fits any number of times, and each start order takes a connection and a fiber. The work of such jobs is next to nothing, so admission accepted them all.

Change: the tasks of all open jobs of a VM are bounded (`maxOpenTasks`, 20,000, twice the largest job); a job beyond it is refused as overload.

Conclusion: tasks with needs are confirmed long before 32 of them are under way on one upstream.

--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -533,6 +533,8 @@
     /// Sets the times until which a new job may wait for its first start and be offered.
     void setStartLimits(Job &job, TimePoint now) const;
     /// Returns the refusal of an arriving job, or `std::nullopt` if it is admitted.
+    /// Returns true if a job with this many tasks stays within `maxOpenJobs` and `maxOpenTasks`.
+    bool hasRoomForJob(std::size_t tasks) const;
     std::optional<JobTurnedAway> checkAdmission(const FleetJob &job, TimePoint now) const;
     /// Returns the retry-after time if an arriving job is hopeless, by the order of all waiting
     /// jobs and the new one.
--- a/scripts/hostile-clients.py
+++ b/scripts/hostile-clients.py
@@ -411,6 +411,13 @@
     return crowd(world, 290, lambda n: [post(path(n), body, length(body))])
 
 
+# A small body that asks for many tasks takes a multiple of its size.
+def jobs_of_many_tasks(world):
+    step = {"count": 10_000, "estimate_ms": 1}
+    body = json.dumps({"spec": "{}", "best_effort": True, "steps": [step]}).encode()
+    return crowd(world, 290, lambda n: [post(path(n), body, length(body))])
+
+
 # The history of decisions kept ids of any length.
 def jobs_with_long_ids(world):
     body = job(run_ms=1)
@@ -463,7 +470,7 @@
          announced_bodies_over_the_limit, chunked_bodies_over_the_limit, many_header_fields,
          headers_a_byte_short, requests_sent_ahead, operator_answers_not_taken,
          operator_bodies_a_byte_short, idle_connections, idle_connections_of_both_listeners,
-         bodies_of_many_values, jobs_with_long_texts, jobs_with_long_ids,
+         bodies_of_many_values, jobs_with_long_texts, jobs_of_many_tasks, jobs_with_long_ids,
          peer_messages_a_byte_short, peer_streams_without_end, large_requests_in_calm,
          body_over_the_configured_limit]
 # Queues of the configuration, where an answer must be large.
--- a/src/rattandock/fleet/fleet_dispatcher_admission.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_admission.cpp
@@ -87,6 +87,14 @@
     return it->drainTime;
 }
 
+bool FleetDispatcher::hasRoomForJob(std::size_t tasks) const
+{
+    for (const auto &[number, job] : m_jobs) {
+        tasks += job.tasks.size();
+    }
+    return m_jobs.size() < m_options.maxOpenJobs && tasks <= m_options.maxOpenTasks;
+}
+
 std::optional<JobTurnedAway> FleetDispatcher::checkAdmission(const FleetJob &job,
                                                              TimePoint now) const
 {
@@ -99,7 +107,7 @@
     if (m_pausedAt && now - *m_pausedAt < pauseBacklogTime) {
         return refusal(TurnAwayReason::Paused);
     }
-    if (m_jobs.size() >= m_options.maxOpenJobs) {
+    if (!hasRoomForJob(job.taskCount)) {
         return refusal(TurnAwayReason::Overload);
     }
     bool isServed = false;
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -228,7 +228,7 @@
                && hasLabel(entry, offer.job) && (!event.startWithin || mayPlaceOn(it.second, now));
     });
     if (m_stopAt || !canRun || !isPlausible(event) || m_staleLinks.contains(event.from)
-        || m_jobs.size() >= m_options.maxOpenJobs || areKeptUpstreamsEvacuated()) {
+        || !hasRoomForJob(offer.tasks.size()) || areKeptUpstreamsEvacuated()) {
         actions.emplace_back(
                 SendToVm{event.from, TaskOfferEnded{offer.number, OfferResult::NotRun}});
         return;
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -143,7 +143,7 @@
     const auto reserved = reservedFactor(job, now);
     for (auto &[id, it] : m_keptUpstreams) {
         const UpstreamEntry &entry = it.ledger.entry();
-        if (entry.service != job.spec.service || !mayPlaceOn(it, now)
+        if (entry.service != job.spec.service || !mayPlaceOn(it, now) || !it.ledger.mayStart()
             || (reserved && runFactor(entry) <= *reserved)) {
             continue;
         }
--- a/src/rattandock/fleet/fleet_dispatcher_test.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_test.cpp
@@ -756,4 +756,35 @@
     BOOST_TEST(startsOn("negative-age", UpstreamProcessStart{1}, -1s) == 1);
 }
 
+// Guards against tasks that need no resources being started all at once: each start order takes a
+// connection and a fiber, and 10,000 of them used up all descriptors.
+BOOST_AUTO_TEST_CASE(boundsTheUnconfirmedStartsOfTasksWithoutNeeds)
+{
+    FleetJob wide = job("wide", 10'000, 1ms);
+    wide.need = {};
+    submit(++lastRequest, wide);
+    const std::size_t first = take<StartOrder>().size();
+    BOOST_TEST(first > 0U);
+    BOOST_TEST(first <= 64U);
+    pass(20ms);
+    BOOST_TEST(take<StartOrder>().empty());
+}
+
+// Guards against small requests for many tasks that exhaust the memory together.
+BOOST_AUTO_TEST_CASE(boundsTheTasksOfAllJobs)
+{
+    for (int n = 0; n < 10; ++n) {
+        FleetJob wide = job("wide-" + std::to_string(n), 10'000, 1ms);
+        wide.need = {};
+        submit(++lastRequest, wide);
+    }
+    BOOST_TEST(dispatcher.status().jobs == 2U);
+    const auto answers = take<AnswerJob>();
+    BOOST_REQUIRE(answers.size() == 8U);
+    const auto *const end = std::get_if<JobTurnedAway>(&answers.front().end);
+    BOOST_REQUIRE(end != nullptr);
+    BOOST_TEST((end->reason == TurnAwayReason::Overload));
+    BOOST_TEST((end->retryAfter > Duration{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -14,6 +14,10 @@
 /// Number of token values per epoch, so that a new keeper's tokens exceed all of its predecessor's.
 constexpr std::uint64_t tokenIncrementsPerEpoch = 1U << 20U;
 
+/// Start orders to one upstream that may be unconfirmed. Upstreams accept 64 connections, which the
+/// polls, the stop orders and a previous keeper use too.
+constexpr std::size_t maxUnconfirmedRuns = 32;
+
 } // namespace
 
 UpstreamLedger::UpstreamLedger(UpstreamEntry entry, std::uint64_t epoch, const LeaseTimes &times)
@@ -33,6 +37,11 @@
     return m_clock && m_failures == 0 && m_unknownRuns.empty();
 }
 
+bool UpstreamLedger::mayStart() const
+{
+    return m_runs.size() - m_confirmedRuns < maxUnconfirmedRuns;
+}
+
 std::size_t UpstreamLedger::runCountOfStep(const RunName &task) const
 {
     const auto own = std::ranges::count_if(
