--- a/src/rattandock/app/fleet_api.cpp
+++ b/src/rattandock/app/fleet_api.cpp
@@ -22,6 +22,9 @@
 /// a time to come back, which is better for callers than no answer.
 constexpr Duration readyWithoutUpstreams = std::chrono::seconds{6};
 
+/// The history of decisions and the logs keep ids after their jobs.
+constexpr std::size_t maxJobIdBytes = 64;
+
 /// Queues that are written before other fibers get a turn. All of 10,000 at once would delay starts
 /// and answers on a VM with a small share of a core.
 constexpr std::size_t queuesPerTurn = 100;
@@ -99,6 +102,12 @@
 HttpResponse FleetApi::submit(const HttpRequest &request, const fleet::QueueSpec &queue,
                               const JobId &id)
 {
+    if (id.value().size() > maxJobIdBytes) {
+        Findings findings;
+        findings.add("id", "must have at most " + std::to_string(maxJobIdBytes) + " bytes");
+        m_metrics.count("bad_requests", "bad-job");
+        return m_format.encodeBadSubmission(findings);
+    }
     const auto submission = m_format.decodeSubmission(id, request.body);
     if (!submission) {
         m_metrics.count("bad_requests", "bad-job");
--- a/src/rattandock/app/fleet_api_test.cpp
+++ b/src/rattandock/app/fleet_api_test.cpp
@@ -45,6 +45,7 @@
         format.encodeNoConfiguration = withStatus(503);
         format.encodeUnknownQueue = withStatus(404);
         format.encodeWaiting = withStatus(200);
+        format.encodeBadSubmission = withStatus(400);
         return format;
     }
     void configure(std::uint64_t version, const std::string &prefix)
@@ -104,6 +105,17 @@
     BOOST_TEST(statusOf("/new/") == 404U);
 }
 
+// Guards against ids of any length, which the history of decisions keeps after the jobs.
+BOOST_AUTO_TEST_CASE(refusesLongJobIds)
+{
+    configure(1, "/jobs/");
+    adapters::HttpRequest request;
+    request.method = "POST";
+    request.path = "/jobs/" + std::string(65, 'i');
+    request.headers.emplace_back("Host", "h");
+    BOOST_TEST(api.serveCaller(request).status == 400U);
+}
+
 // Guards against an operator who compares with something else than what is in force: an answer
 // before there is a configuration, or one that mixes two versions because the second came into
 // force while the first was written.
