Bound what connections of unknown VMs hold at the listener for VMs

Operators saw: a VM killed for its memory by connections to the address for other VMs that each sent most of a message, and a VM that other VMs could not reach while such connections stayed.

Cause: each of 256 connections could hold 4 MB of a message before any message showed a known VM, streams had no bound, and a further connection was refused whoever held the others.

Change: until a message of a known VM is accepted, messages have at most 64 KB, as only heartbeats are sent then. 256 streams may be open at a time. For a connection beyond the bound, the oldest one that has shown no known VM is closed (`evicted`).

PeerStreamsTest has a case with a bound of two connections.

Conclusion: a VM that is known may send 4 MB, as before; it has one connection at a time.

--- a/src/rattandock/adapters/detail/http2_session.cpp
+++ b/src/rattandock/adapters/detail/http2_session.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Messages whose replies are under way; each open stream takes memory.
+constexpr std::uint32_t maxConcurrentStreams = 256;
+
 template <std::size_t nameSize, std::size_t valueSize>
 nghttp2_nv headerField(const char (&name)[nameSize], const char (&value)[valueSize])
 {
@@ -38,7 +41,7 @@
 
     const Side side;
     const Handlers handlers;
-    const std::size_t maxMessageBytes;
+    std::size_t maxMessageBytes;
     nghttp2_session *session = nullptr;
     Fault fault = Fault::None;
     /// Server: bodies that are not whole yet, and their bytes together.
@@ -167,14 +170,21 @@
             side == Side::Client ? &nghttp2_session_client_new : &nghttp2_session_server_new;
     const int rc = create(&m_nghttp2->session, callbacks, m_nghttp2.get());
     nghttp2_session_callbacks_del(callbacks);
+    const nghttp2_settings_entry streams{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+                                         maxConcurrentStreams};
     if (rc != 0
-        || nghttp2_submit_settings(m_nghttp2->session, NGHTTP2_FLAG_NONE, nullptr, 0) != 0) {
+        || nghttp2_submit_settings(m_nghttp2->session, NGHTTP2_FLAG_NONE, &streams, 1) != 0) {
         throw std::bad_alloc{};
     }
 }
 
 Http2Session::~Http2Session() = default;
 
+void Http2Session::setMaxMessageBytes(std::size_t bytes)
+{
+    m_nghttp2->maxMessageBytes = bytes;
+}
+
 Http2Session::Fault Http2Session::receive(std::string_view bytes)
 {
     const auto taken = nghttp2_session_mem_recv(
--- a/src/rattandock/adapters/detail/http2_session.hpp
+++ b/src/rattandock/adapters/detail/http2_session.hpp
@@ -34,6 +34,9 @@
     /// What ended the session.
     enum class Fault : std::uint8_t { None, ProtocolViolation, MessageTooLarge, StreamReset };
 
+    /// Replaces the bound of messages that are not whole yet, all of the connection together.
+    void setMaxMessageBytes(std::size_t bytes);
+
     /// Takes bytes from the connection. Any fault but None means that it must be closed.
     Fault receive(std::string_view bytes);
 
--- a/src/rattandock/adapters/detail/peer_connection.cpp
+++ b/src/rattandock/adapters/detail/peer_connection.cpp
@@ -39,9 +39,10 @@
 
 std::string_view name(PeerConnection::End end)
 {
-    static constexpr std::array<std::string_view, 10> names{
+    static constexpr std::array<std::string_view, 11> names{
             "closed",     "silent",     "protocol-violation", "too-large", "refused",
-            "queue-full", "tls-failed", "wrong-certificate",  "replaced",  "reset"};
+            "queue-full", "tls-failed", "wrong-certificate",  "replaced",  "reset",
+            "evicted"};
     return names.at(static_cast<std::size_t>(end));
 }
 
--- a/src/rattandock/adapters/detail/peer_connection.hpp
+++ b/src/rattandock/adapters/detail/peer_connection.hpp
@@ -32,6 +32,8 @@
         Replaced,
         /// This process was paused, so what the connection would deliver is outdated.
         Reset,
+        /// It had sent no message of a known VM when a place for another connection was needed.
+        Evicted,
     };
 
     struct Options
@@ -60,6 +62,8 @@
     void wake();
     /// Makes run() return with that end, unless it has another already.
     void close(End end);
+    /// Replaces the bound of the options.
+    void setMaxMessageBytes(std::size_t bytes) { m_session.setMaxMessageBytes(bytes); }
     /// True without TLS, or if the certificate names the VM.
     bool isFrom(const VmId &vm) { return m_socket.isFrom(vm); }
     bool isClosing() const { return m_end.has_value(); }
--- a/src/rattandock/adapters/peer_streams.cpp
+++ b/src/rattandock/adapters/peer_streams.cpp
@@ -24,8 +24,21 @@
 using detail::PeerConnection;
 using detail::PeerLink;
 
+namespace {
+
+/// Until a VM is known, the only message is its heartbeat.
+constexpr std::size_t maxFirstMessageBytes = 64U << 10U;
+
+} // namespace
+
 struct PeerStreams::State : std::enable_shared_from_this<PeerStreams::State>
 {
+    struct Incoming
+    {
+        PeerConnection *connection = nullptr;
+        /// Empty until a message of a known VM was accepted.
+        const VmId *sender = nullptr;
+    };
     /// One per I/O thread; touched by that thread only, but `links` is filled before.
     struct PerThread
     {
@@ -36,7 +49,7 @@
 
         asio::steady_timer ticker;
         std::vector<std::unique_ptr<PeerLink>> links;
-        std::list<PeerConnection *> incoming;
+        std::list<Incoming> incoming;
         /// The connection over which each peer sent a message last.
         std::unordered_map<VmId, PeerConnection *> inputs;
         std::set<VmId> knownVms;
@@ -89,6 +102,7 @@
     std::unique_ptr<PeerLink> makeLink(std::size_t thread, const PeerAddress &peer);
     void acceptLoop();
     void serve(std::size_t thread, tcp::socket socket);
+    bool evictUnknown(std::size_t thread);
     bool receive(std::size_t thread, PeerConnection &from, VmId &sender, std::string_view bytes);
     void replaceInput(std::size_t thread, const VmId &sender, PeerConnection *connection);
     bool refuse(std::string_view reason);
@@ -142,10 +156,6 @@
             awaitIo([&wait](auto handle) { wait.async_wait(handle); });
             continue;
         }
-        if (connections >= options.maxConnections) {
-            metrics.count("peer_connections", "too-many");
-            continue;
-        }
         ++connections;
         spawnCounted(thread, [this, thread, accepted] {
             serve(thread, std::move(**accepted));
@@ -159,18 +169,22 @@
     if (stopping) {
         return;
     }
+    if (connections > options.maxConnections && !evictUnknown(thread)) {
+        metrics.count("peer_connections", "too-many");
+        return;
+    }
     VmId sender;
     PeerConnection *self = nullptr;
     PeerConnection connection{
             detail::PeerSocket{boost::beast::tcp_stream{std::move(socket)}, currentTls()},
-            {Http2Session::Side::Server, options.silenceLimit, maxPeerMessageBytes,
+            {Http2Session::Side::Server, options.silenceLimit, maxFirstMessageBytes,
              options.connectTimeout, VmId{}},
             {[&](const std::string &bytes) { return receive(thread, *self, sender, bytes); },
              nullptr},
             nullptr};
     self = &connection;
     auto &incoming = perThread[thread]->incoming;
-    const auto place = incoming.insert(incoming.end(), &connection);
+    const auto place = incoming.insert(incoming.end(), {&connection, &sender});
     const PeerConnection::End end = connection.run();
     incoming.erase(place);
     const auto input = perThread[thread]->inputs.find(sender);
@@ -183,6 +197,21 @@
     }
 }
 
+/// Makes room for a connection by closing the oldest one that has sent no message of a known VM;
+/// false if there is none on this thread.
+bool PeerStreams::State::evictUnknown(std::size_t thread)
+{
+    const auto &incoming = perThread[thread]->incoming;
+    const auto it = std::ranges::find_if(incoming, [](const Incoming &one) {
+        return one.sender->value().empty() && !one.connection->isClosing();
+    });
+    if (it == incoming.end()) {
+        return false;
+    }
+    it->connection->close(PeerConnection::End::Evicted);
+    return true;
+}
+
 bool PeerStreams::State::receive(std::size_t thread, PeerConnection &from, VmId &sender,
                                  std::string_view bytes)
 {
@@ -199,6 +228,7 @@
     }
     if (sender.value().empty()) {
         sender = envelope.sender;
+        from.setMaxMessageBytes(maxPeerMessageBytes);
         replaceInput(thread, sender, &from);
     } else if (sender != envelope.sender) {
         return refuse("changed-origin");
@@ -285,8 +315,8 @@
     for (const auto &link : perThread[thread]->links) {
         link->reset();
     }
-    for (PeerConnection *const it : perThread[thread]->incoming) {
-        it->close(PeerConnection::End::Reset);
+    for (const Incoming &it : perThread[thread]->incoming) {
+        it.connection->close(PeerConnection::End::Reset);
     }
 }
 
@@ -301,8 +331,8 @@
     for (const auto &link : here.links) {
         link->stop();
     }
-    for (PeerConnection *const it : here.incoming) {
-        it->close(PeerConnection::End::Closed);
+    for (const Incoming &it : here.incoming) {
+        it.connection->close(PeerConnection::End::Closed);
     }
 }
 
--- a/src/rattandock/adapters/peer_streams_test.cpp
+++ b/src/rattandock/adapters/peer_streams_test.cpp
@@ -273,6 +273,32 @@
     BOOST_TEST(a.events.versions() == (std::vector<std::uint64_t>{1, 1}));
 }
 
+// Guards against connections of strangers that keep other VMs out, or hold a large message each.
+BOOST_AUTO_TEST_CASE(servesVmsBesideConnectionsOfStrangers)
+{
+    PeerStreamsOptions options = optionsOf("a");
+    options.maxConnections = 2;
+    options.silenceLimit = std::chrono::minutes{5};
+    Node a{options};
+    a.streams->connect({addressOf("b", anyPort)});
+    std::vector<std::unique_ptr<RawPeer>> strangers;
+    for (int n = 0; n < 6; ++n) {
+        strangers.push_back(std::make_unique<RawPeer>(a));
+    }
+    RawPeer b{a};
+    waitUntil([&] { return b.isAccepted(messageFrom("b")); });
+    BOOST_TEST(a.countOf("peer_connections", "too-many") == "0");
+    BOOST_TEST(!areAccepted(a, {std::string(100'000, 'x')}));
+    waitUntil([&] { return a.countOf("peer_connections", "too-large") == "1"; });
+    // A known VM sends more.
+    const std::string large =
+            encodePeerMessage({VmId{"b"}, Incarnation{1},
+                               core::ConfigurationDelta{ConfigurationVersion{1},
+                                                        std::string(3U << 20U, 'x')}})
+                    .value();
+    BOOST_TEST(areAccepted(a, {messageFrom("b"), large}));
+}
+
 // Guards against bytes that are no HTTP/2 and keep the connection open.
 BOOST_AUTO_TEST_CASE(closesAConnectionThatIsNoHttp2)
 {
