Bound the number of header fields of a request

Cause: a field of three bytes takes 64 in the list of headers, and a header is parsed before its memory is charged.

HttpServerTest has a case with 100 and 1,000 fields.

--- a/src/rattandock/adapters/detail/request_parser.cpp
+++ b/src/rattandock/adapters/detail/request_parser.cpp
@@ -9,6 +9,13 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+namespace {
+
+/// Each field takes more memory than its text, which the header limit bounds.
+constexpr std::size_t maxHeaderFields = 256;
+
+} // namespace
+
 RequestParser::RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
     : m_maxHeaderBytes(maxHeaderBytes)
     , m_maxBodyBytes(maxBodyBytes)
@@ -47,9 +54,11 @@
     // Never called: this parser is one of requests.
 }
 
-void RequestParser::on_field_impl(Field /*field*/, Text name, Text value, ErrorCode & /*ec*/)
+void RequestParser::on_field_impl(Field /*field*/, Text name, Text value, ErrorCode &ec)
 {
-    if (!m_isHeaderDone) {
+    if (m_request.headers.size() == maxHeaderFields) {
+        ec = http::error::header_limit;
+    } else if (!m_isHeaderDone) {
         m_request.headers.emplace_back(name, value);
         m_headerBytes += name.size() + value.size();
     }
--- a/src/rattandock/adapters/http_server_test.cpp
+++ b/src/rattandock/adapters/http_server_test.cpp
@@ -182,6 +182,21 @@
     BOOST_TEST(isAnswer(client.receive(), 200));
 }
 
+// Guards against many short header fields, which take a multiple of their size.
+BOOST_AUTO_TEST_CASE(refusesTooManyHeaderFields)
+{
+    for (const int fields : {100, 1000}) {
+        Fixture fixture;
+        Client client{fixture};
+        std::string text = "GET / HTTP/1.1\r\nConnection: close\r\n";
+        for (int n = 0; n < fields; ++n) {
+            text += "a:\r\n";
+        }
+        client.send(text + "\r\n");
+        BOOST_TEST(isAnswer(client.receive(), fields == 100 ? 200 : 431));
+    }
+}
+
 // Guards against a trailer, a chunk's line or chunk extensions that grow without a bound.
 BOOST_AUTO_TEST_CASE(refusesPartsAboveTheHeaderLimit)
 {
