Let the crowds of hostile-clients.py send all that they have

Cause: a crowd counted as quiet when its pieces were equal before and after a step, so that crowds of equal pieces were ended after half a second.

Change: progress is counted in bytes sent. Crowds, bounds and checks are as before.

--- a/scripts/hostile-clients.py
+++ b/scripts/hostile-clients.py
@@ -69,7 +69,7 @@
         self.socket.setblocking(False)
         self.socket.connect_ex(("127.0.0.1", port))
         self.chunks, self.reads, self.pending, self.open = iter(chunks), reads, b"", True
-        self.finished = False
+        self.finished, self.sent = False, 0
 
     def fill(self):
         if not self.pending and not self.finished:
@@ -82,7 +82,9 @@
                 self.fill()
                 if self.finished:
                     return
-                self.pending = self.pending[self.socket.send(self.pending):]
+                n = self.socket.send(self.pending)
+                self.sent += n
+                self.pending = self.pending[n:]
         except BlockingIOError:
             pass
         except OSError:
@@ -246,12 +248,12 @@
             events = poll.poll(20)
             for number, event in events:
                 client = by_number[number]
-                before = (client.pending, client.finished)
+                before = (client.sent, client.finished)
                 if event & select.POLLIN:
                     client.read()
                 if event & (select.POLLOUT | select.POLLERR | select.POLLHUP) and client.open:
                     client.write()
-                if (client.pending, client.finished) != before or not client.open:
+                if (client.sent, client.finished) != before or not client.open:
                     active = time.monotonic()
         self.sample()
 
