Bound the unparsed parts of answers from upstreams and the platform

Operators saw: nothing yet; the same cause as endless trailers of callers, found by reading.

Cause: the parser of answers asks for a chunk line or a trailer as one contiguous text, and the read buffers had no bound.

Change: these parts have at most 64 KB in the fleet's HTTP client, the client of upstreams and that of the platform's VM list.

Evidence: HttpConnectionsTest/endsAnAnswerWithAnEndlessTrailer fails without the bound, which reads all 12 MB that its server sends.

Conclusion: bodies of answers had a bound already.

--- a/src/rattandock/adapters/detail/platform_exchange.cpp
+++ b/src/rattandock/adapters/detail/platform_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http_parts.hpp"
 #include "rattandock/adapters/io_wait.hpp"
 
 namespace rattandock::adapters::detail {
@@ -33,7 +34,7 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxReplyBytes);
-    beast::flat_buffer buf;
+    beast::flat_buffer buf{maxPartBytes};
     const IoEnd read = awaitIo([&](auto handle) { http::async_read(stream, buf, parser, handle); });
     if (read.ec) {
         return {PlatformExchange::End::NoReply, 0, {}};
--- a/src/rattandock/adapters/http_connections.cpp
+++ b/src/rattandock/adapters/http_connections.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <chrono>
 
+#include "detail/http_parts.hpp"
 #include "rattandock/adapters/io_threads.hpp"
 #include "rattandock/adapters/io_wait.hpp"
 
@@ -185,6 +186,9 @@
     beast::flat_buffer buf;
     boost::system::error_code ec;
     while (!parser.is_done()) {
+        if (buf.size() >= detail::maxPartBytes) {
+            return http::error::header_limit;
+        }
         const IoEnd end = awaitIo([&](auto handle) {
             connection.socket.async_read_some(buf.prepare(readBytes), handle);
         });
--- a/src/rattandock/adapters/http_connections_test.cpp
+++ b/src/rattandock/adapters/http_connections_test.cpp
@@ -1,9 +1,12 @@
 #include "rattandock/adapters/http_connections.hpp"
 
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <memory>
+#include <thread>
 
 #include "rattandock/adapters/http_server.hpp"
 #include "rattandock/adapters/io_threads.hpp"
@@ -42,4 +45,32 @@
     server.value()->stop();
 }
 
+// Guards against an answer whose trailer never ends, which was kept whole.
+BOOST_AUTO_TEST_CASE(endsAnAnswerWithAnEndlessTrailer)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor{io, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::thread server{[&] {
+        boost::asio::ip::tcp::socket socket = acceptor.accept();
+        boost::system::error_code ec;
+        std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+        // More than any answer may have, so that the loop ends also without the bound.
+        for (int n = 0; n < 3000 && !ec; ++n) {
+            boost::asio::write(socket, boost::asio::buffer(text), ec);
+            text = "A: " + std::string(4000, 'b') + "\r\n";
+        }
+    }};
+    IoThreads threads{1};
+    std::promise<boost::system::error_code> end;
+    threads.spawn(0, [&] {
+        HttpConnections connections{4};
+        const auto reply =
+                connections.exchange(acceptor.local_endpoint(), {"GET", "/", {}, {}, {}, {}, {}},
+                                     ExchangeLimits::ofWhole(60s));
+        end.set_value(reply ? boost::system::error_code{} : reply.error().ec);
+    });
+    BOOST_TEST((end.get_future().get() == boost::beast::http::error::header_limit));
+    server.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/adapters/upstream_client.cpp
+++ b/src/rattandock/adapters/upstream_client.cpp
@@ -11,6 +11,7 @@
 #include <list>
 #include <optional>
 
+#include "detail/http_parts.hpp"
 #include "rattandock/adapters/http_message.hpp"
 #include "rattandock/adapters/io_wait.hpp"
 
@@ -138,7 +139,8 @@
                 return;
             }
             ++upstream.open;
-            taken.emplace_back(Connection{beast::tcp_stream{m_io}, {}, {}});
+            taken.emplace_back(Connection{
+                    beast::tcp_stream{m_io}, beast::flat_buffer{detail::maxPartBytes}, {}});
             if (!connect(upstream, task.attempt, taken.front())) {
                 --upstream.open;
                 ended.result = AttemptNotStarted{NotStartedReason::ConnectionRefused};
