--- a/include/rattandock/fleet/fleet_options.hpp
+++ b/include/rattandock/fleet/fleet_options.hpp
@@ -47,8 +47,8 @@
     Duration answerMargin = 20ms;
     /// Maximum number of jobs on this VM that have not ended, waiting or running.
     std::size_t maxOpenJobs = 2000;
-    /// Maximum number of tasks of these jobs together. A small request can ask for thousands of tasks,
-    /// which take more memory than it.
+    /// Maximum number of tasks of these jobs together. A small request can ask for thousands of
+    /// tasks, which take more memory than it.
     std::size_t maxOpenTasks = 20'000;
     /// A planned stop aborts the jobs that have not ended after this time. Must be shorter than the
     /// grace period that the platform gives a process to stop.
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -105,8 +105,8 @@
     /// Returns false before the first report, while polls fail, and while the upstream still has
     /// runs of a previous keeper, whose size is unknown.
     bool takesOrders() const;
-    /// Returns false while many start orders are unconfirmed. Each holds a connection, and tasks that
-    /// need no resources would otherwise be started without a limit.
+    /// Returns false while many start orders are unconfirmed. Each holds a connection, and tasks
+    /// that need no resources would otherwise be started without a limit.
     bool mayStart() const;
     /// Returns true if the last poll failed.
     bool isSilent() const { return m_failures > 0; }
--- a/src/rattandock/adapters/json_memory.cpp
+++ b/src/rattandock/adapters/json_memory.cpp
@@ -16,7 +16,7 @@
 
 void JsonMemory::do_deallocate(void *data, std::size_t bytes, std::size_t alignment)
 {
-    ::operator delete (data, bytes, std::align_val_t{alignment});
+    ::operator delete (data, std::align_val_t{alignment});
     m_left += bytes;
 }
 
