Move the read timer and the close watch of the HTTP server to headers

Change: ReadTimer and CloseWatch are in detail headers, as the connection table is. The serving functions say what their results mean.

--- a/src/rattandock/adapters/http_server.cpp
+++ b/src/rattandock/adapters/http_server.cpp
@@ -1,18 +1,17 @@
 #include "rattandock/adapters/http_server.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/v6_only.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
 #include <future>
 #include <optional>
 
+#include "detail/close_watch.hpp"
 #include "detail/connection_table.hpp"
+#include "detail/read_timer.hpp"
 #include "detail/request_parser.hpp"
 #include "rattandock/adapters/io_wait.hpp"
 
@@ -22,7 +21,9 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using detail::CloseWatch;
 using detail::ConnectionTable;
+using detail::ReadTimer;
 using detail::RequestParser;
 using detail::ServerConnection;
 
@@ -107,96 +108,6 @@
     return toBeast(std::move(answer), false);
 }
 
-/// Ends a read after a time. The timeout of beast::tcp_stream closes the socket, so that no answer
-/// could follow; this one only cancels the read. Used on one thread.
-struct ReadTimer : std::enable_shared_from_this<ReadTimer>
-{
-    explicit ReadTimer(beast::tcp_stream &of)
-        : timer(of.get_executor())
-        , stream(&of)
-    {
-    }
-
-    /// Sets the limit, counted from the construction. Most requests arrive in one piece and need no
-    /// timer.
-    void expireAt(Duration afterBegin)
-    {
-        if (afterBegin != limit) {
-            limit = afterBegin;
-            arm(began + afterBegin);
-        }
-    }
-    void disarm()
-    {
-        stream = nullptr;
-        timer.cancel();
-    }
-
-    asio::steady_timer timer;
-    beast::tcp_stream *stream;
-    const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
-    Duration limit{};
-    bool expired = false;
-
-private:
-    void arm(std::chrono::steady_clock::time_point at)
-    {
-        timer.expires_at(at);
-        timer.async_wait([self = shared_from_this()](const beast::error_code &ec) {
-            if (ec || self->stream == nullptr) {
-                return;
-            }
-            self->expired = true;
-            self->stream->cancel();
-            // A read that had just ended is followed by another one, which is cancelled then.
-            self->arm(std::chrono::steady_clock::now() + std::chrono::milliseconds{10});
-        });
-    }
-};
-
-/// Sees the end of a connection while its request is being handled. Used on one thread.
-struct CloseWatch : std::enable_shared_from_this<CloseWatch>
-{
-    explicit CloseWatch(tcp::socket &of)
-        : socket(&of)
-    {
-    }
-
-    void arm(std::function<void()> onClosed)
-    {
-        if (isClosed()) {
-            onClosed();
-            return;
-        }
-        isArmed = true;
-        socket->async_wait(tcp::socket::wait_read,
-                           [self = shared_from_this(),
-                            call = std::move(onClosed)](const beast::error_code &ec) {
-                               if (!ec && self->socket != nullptr && self->isClosed()) {
-                                   call();
-                               }
-                           });
-    }
-    /// Bytes of a next request are no end.
-    bool isClosed() const
-    {
-        char byte = 0;
-        const auto n = ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-    void disarm()
-    {
-        if (isArmed) {
-            beast::error_code ec;
-            socket->cancel(ec);
-        }
-        socket = nullptr;
-    }
-
-    tcp::socket *socket;
-    bool isArmed = false;
-};
-
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
@@ -237,10 +148,13 @@
 
     void acceptLoop();
     void serve(PerThread &thread, tcp::socket socket);
+    /// False if the new connection exceeds the bound and no other one can make room for it.
     bool admit(PerThread &thread);
     void serveRequests(PerThread &thread, ServerConnection &connection);
+    /// The serving functions return false if the connection is to be closed.
     bool waitForRequest(PerThread &thread, ServerConnection &connection);
     bool serveOne(PerThread &thread, ServerConnection &connection);
+    /// Reads until the parser is done. Without an error it may be incomplete, if the server stops.
     beast::error_code readRequest(PerThread &thread, ServerConnection &connection,
                                   const RequestLimits &bounds, RequestParser &parser);
     beast::error_code readParts(ConnectionTable &connections, ServerConnection &connection,
@@ -347,7 +261,7 @@
     connection.stream.expires_never();
     beast::error_code ec = readParts(thread.connections, connection, bounds, parser, *timer);
     timer->disarm();
-    if (ec && timer->expired) {
+    if (ec && timer->hasExpired()) {
         ec = beast::error::timeout;
     }
     return ec;
