--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -10,7 +10,8 @@
 sources=(
   src/rattandock/base/finding.cpp
   src/rattandock/core/{home_token,job_outcome,placement_policy,reason}.cpp
-  src/rattandock/adapters/{base64,job_json,json_document,json_object_reader,json_parse,settings}.cpp
+  src/rattandock/adapters/{base64,job_json,json_document,json_memory,json_object_reader,json_parse,settings}.cpp
+  src/rattandock/adapters/detail/request_parser.cpp
   src/rattandock/adapters/{endpoint,http_message}.cpp
   src/rattandock/fleet/{fleet_action,submission}.cpp
   src/rattandock/app/{config_check,config_differences,config_finding,config_reading}.cpp
