--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -6,7 +6,7 @@
 
 runs=${1:-100000}
 seed=20240601
-targets=(parse_job parse_settings parse_home_job_id parse_submission check_configuration)
+targets=(parse_job parse_settings parse_home_job_id parse_submission check_configuration parse_request)
 sources=(
   src/rattandock/base/finding.cpp
   src/rattandock/core/{home_token,job_outcome,placement_policy,reason}.cpp
