Send stop orders as soon as the upstream has a connection for them

Cause: the loop sent at most 32 stop orders to an upstream at a time and reported the others as not sent. The ledger sent them again with a report at least 200 ms later, of which 32 passed, so that stopping n runs took n / 32 times 200 ms. Meanwhile the lease was renewed for the runs of other jobs.

Change: StopQueue holds the runs that have to end. Orders wait for a connection only, and the next one is sent with the answer to the former. Start and stop orders share 54 of the upstream's 64 connections, 16 are left for starts.

--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -107,8 +107,6 @@
     std::optional<TimePoint> m_lastHandled;
     Duration m_lastBootTime{};
     std::unordered_map<CallerRequestId, std::shared_ptr<Waiter>> m_waiters;
-    /// Stop orders under way; only upstreams with any.
-    std::unordered_map<UpstreamId, std::size_t> m_openStops;
     std::uint64_t m_nextRequest = 1;
 };
 
--- a/include/rattandock/fleet/run_report.hpp
+++ b/include/rattandock/fleet/run_report.hpp
@@ -47,6 +47,14 @@
     friend bool operator==(const ActiveRun &, const ActiveRun &) = default;
 };
 
+struct ActiveRunHash
+{
+    std::size_t operator()(const ActiveRun &it) const
+    {
+        return std::hash<RunName>{}(it.name) * 31U + it.number.value();
+    }
+};
+
 struct EndedRun
 {
     EndNumber position;
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -8,6 +8,7 @@
 
 #include "rattandock/fleet/lease_times.hpp"
 #include "rattandock/fleet/run_report.hpp"
+#include "rattandock/fleet/stop_queue.hpp"
 #include "rattandock/fleet/task_ref.hpp"
 #include "rattandock/fleet/upstream_entry.hpp"
 
@@ -105,8 +106,9 @@
     /// Returns false before the first report, while polls fail, and while the upstream still has
     /// runs of a previous keeper, whose size is unknown.
     bool takesOrders() const;
-    /// Returns false while many start orders are unconfirmed. Each holds a connection, and tasks
-    /// that need no resources would otherwise be started without a limit.
+    /// Returns false while many start orders are unconfirmed or stop orders are under way. Each
+    /// holds a connection, and tasks that need no resources would otherwise be started without a
+    /// limit.
     bool mayStart() const;
     /// Returns true if the last poll failed.
     bool isSilent() const { return m_failures > 0; }
@@ -134,7 +136,8 @@
     void pollFailed(PollNumber number, OrderResult result, TimePoint now, LedgerOutputs &out);
     void stopAnswered(const RunName &name, RunNumber number, OrderResult result, TimePoint now,
                       LedgerOutputs &out);
-    /// Sends a stop order for the run. No effect if the run has ended or is being stopped.
+    /// Stops the run: sends the order as soon as a connection is free for it, and again until a
+    /// report shows the end. No effect if the run has ended or is being stopped.
     void stop(const TaskRef &task, TimePoint now, LedgerOutputs &out);
 
     /// Sends a poll if one is due, and ends all runs if their lease has expired.
@@ -153,19 +156,6 @@
         Active,
         Stopping,
     };
-    struct Key
-    {
-        RunName name;
-        RunNumber number;
-        friend bool operator==(const Key &, const Key &) = default;
-    };
-    struct KeyHash
-    {
-        std::size_t operator()(const Key &it) const
-        {
-            return std::hash<RunName>{}(it.name) * 31U + it.number.value();
-        }
-    };
     struct Run
     {
         TaskRef task;
@@ -175,7 +165,6 @@
         TimePoint sent;
         /// When the upstream first confirmed the run; `std::nullopt` before.
         std::optional<TimePoint> confirmed;
-        TimePoint stopSent;
         /// Set once the upstream has reported a new process.
         bool hasCrashed = false;
         bool isCrashSuspect = false;
@@ -192,7 +181,7 @@
         FencingToken token;
         TimePoint sent;
     };
-    using Runs = std::unordered_map<Key, Run, KeyHash>;
+    using Runs = std::unordered_map<ActiveRun, Run, ActiveRunHash>;
 
     Runs::iterator remove(Runs::iterator it);
     void end(Runs::iterator it, RunEndKind kind, TimePoint now, LedgerOutputs &out);
@@ -214,9 +203,13 @@
     void leaseSent(TimePoint now);
     void confirm(Run &run, TimePoint now);
     void sendPoll(TimePoint now, LedgerOutputs &out);
-    void sendStop(const Key &key, Run &run, TimePoint now, LedgerOutputs &out);
+    /// Sends the stop orders that are due and for which a connection is free.
+    void sendDueStops(TimePoint now, LedgerOutputs &out);
+    /// Returns how many stop orders may be under way.
+    std::size_t maxOpenStops() const;
     void reconcile(const Poll &poll, const RunReport &report, TimePoint now, LedgerOutputs &out);
-    void stopUnknownRuns(const RunReport &report, LedgerOutputs &out);
+    /// Replaces the list of runs that this ledger did not start, and stops them.
+    void setUnknownRuns(std::vector<ActiveRun> runs, TimePoint now);
     /// Returns when the confirmed runs end on the upstream if their lease is not renewed. Includes
     /// the allowed clock drift and a margin.
     TimePoint leaseExpiry() const;
@@ -238,6 +231,8 @@
     /// Active runs that this ledger did not start, such as those of a previous keeper. They are
     /// being stopped; the room that they take is unknown.
     std::vector<ActiveRun> m_unknownRuns;
+    /// Own and unknown runs that have to end.
+    StopQueue m_stops;
     /// Runs that lapsed since the last report.
     std::vector<LapsedRun> m_lapsedRuns;
     Resources m_reservedRoom;
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -16,9 +16,6 @@
 /// dispatcher's own timers come four times a second. Above it the leases of running tasks (600 ms)
 /// are over, and callers begin to come back elsewhere (1,300 ms).
 constexpr Duration pauseLimit = std::chrono::milliseconds{1000};
-/// Stop orders to one upstream at a time, as each holds a connection. The next report of the
-/// upstream shows which runs are still to be stopped.
-constexpr std::size_t maxOpenStops = 32;
 
 /// Goes on while the VM is suspended, unlike the steady clock.
 Duration bootTime()
@@ -183,19 +180,11 @@
 {
     const auto address = addressOf(order.upstream);
     if (!address) {
-        return;
-    }
-    std::size_t &open = m_openStops[order.upstream];
-    if (open >= maxOpenStops) {
         return post(fleet::StopOrderCompleted{order.upstream, order.name, order.number,
                                               fleet::OrderResult::NotSent});
     }
-    ++open;
     adapters::spawnFiber([this, address, order = std::move(order)] {
         const fleet::OrderResult result = m_orders.stop(*address, order);
-        if (--m_openStops[order.upstream] == 0) {
-            m_openStops.erase(order.upstream);
-        }
         post(fleet::StopOrderCompleted{order.upstream, order.name, order.number, result});
     });
 }
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -225,7 +225,10 @@
                                                    StopOrderCompleted{it.upstream, it.name,
                                                                       it.number, result},
                                                    Duration{});
-                                          });
+                                          },
+                                          m_faults.stopAnswerTime > Duration{} ? drawDuration(
+                                                  Duration{}, m_faults.stopAnswerTime)
+                                                                               : Duration{});
                               },
                               [&](const PollOrder &it) { sendLook(n, it); },
                               [&](const AnswerJob &it) {
@@ -483,11 +486,13 @@
     it.job.priority = static_cast<std::uint32_t>(caller % m_faults.queues);
     it.job.queue = QueueId{std::string{"q"} + std::to_string(it.job.priority)};
     it.job.service = ServiceId{"s"};
-    it.job.taskCount =
-            1 + static_cast<std::uint32_t>(drawDuration(Duration{0}, Duration{5}).count());
-    it.job.need = {MilliCores{static_cast<std::uint32_t>(
-                           drawDuration(Duration{15'000}, Duration{41'000}).count())},
-                   Megabytes{64}, Accelerators{0}};
+    it.job.taskCount = 1
+                       + static_cast<std::uint32_t>(
+                               drawDuration(Duration{0}, Duration{m_faults.mostTasks - 1}).count());
+    it.job.need = {
+            MilliCores{static_cast<std::uint32_t>(
+                    drawDuration(Duration{m_faults.leastCpu}, Duration{m_faults.mostCpu}).count())},
+            Megabytes{64}, Accelerators{0}};
     it.job.estimate = drawDuration(30ms, m_faults.longestEstimate);
     it.job.objective = it.job.estimate * 8 / 5 + 60ms;
     it.job.deadline = m_faults.callerDeadline;
@@ -517,11 +522,20 @@
         it.request = CallerRequestId{m_nextRequest++};
         it.isConnected = true;
         post(vm, it.process, JobSubmitted{it.request, it.job}, 3ms);
+        if (m_faults.callerReset > 0 && drawUniform() < m_faults.callerReset) {
+            schedule(m_now + drawDuration(10ms, m_faults.callerDeadline),
+                     [this, caller, request = it.request] {
+                         if (m_callers[caller].request == request) {
+                             resetCaller(caller);
+                         }
+                     });
+        }
         if (drawUniform() < m_faults.callerLeaves) {
             schedule(m_now + drawDuration(10ms, 400ms), [this, caller, request = it.request] {
                 Caller &leaving = m_callers[caller];
                 if (leaving.isConnected && leaving.request == request) {
                     leaving.isConnected = false;
+                    leaving.hasLeft = true;
                     post(leaving.vm, leaving.process, CallerDisconnected{request}, 3ms);
                 }
             });
@@ -531,6 +545,7 @@
             Caller &expired = m_callers[caller];
             if (expired.isConnected && expired.request == request) {
                 expired.isConnected = false;
+                m_undisturbedWithoutAnswer += expired.hasLeft ? 0 : 1;
                 post(expired.vm, expired.process, CallerDisconnected{request}, 3ms);
             }
         });
@@ -545,6 +560,7 @@
         return;
     }
     it.isConnected = false;
+    m_undisturbedWithoutAnswer += it.hasLeft || std::holds_alternative<JobCompleted>(end) ? 0 : 1;
     ++m_vms[it.vm].answered;
     std::visit(Overloaded{[&](const JobCompleted &) {
                               ++m_completed;
@@ -569,6 +585,27 @@
                end);
 }
 
+void FleetWorld::resetCallers(std::size_t vm, double share)
+{
+    for (std::size_t n = 0; n < m_callers.size(); ++n) {
+        if (m_callers[n].vm == vm && drawUniform() < share) {
+            resetCaller(n);
+        }
+    }
+}
+
+void FleetWorld::resetCaller(std::size_t caller)
+{
+    Caller &it = m_callers[caller];
+    if (!it.isConnected) {
+        return;
+    }
+    trace("the connection for ", it.job.id.value(), " to ", m_vms[it.vm].id, " is reset");
+    it.hasLeft = true;
+    post(it.vm, it.process, CallerDisconnected{it.request}, 3ms);
+    handleConnectionLoss(caller);
+}
+
 void FleetWorld::handleConnectionLoss(std::size_t caller)
 {
     Caller &it = m_callers[caller];
@@ -615,6 +652,7 @@
     upstream.highestToken = {};
     upstream.leaseUntil = m_now;
     if (const auto pending = std::exchange(upstream.pendingLook, std::nullopt)) {
+        freeConnection(upstream.entry.id);
         post(pending->vm, pending->process,
              RunReportFailed{upstream.entry.id, pending->number, OrderResult::NoAnswer},
              orderTimeout);
@@ -627,6 +665,7 @@
 void FleetWorld::resetPendingLook(Upstream &upstream)
 {
     if (const auto pending = std::exchange(upstream.pendingLook, std::nullopt)) {
+        freeConnection(upstream.entry.id);
         post(pending->vm, pending->process,
              RunReportFailed{upstream.entry.id, pending->number, OrderResult::NoAnswer},
              networkDelay);
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -34,6 +34,8 @@
 inline constexpr Duration maxLease = std::chrono::milliseconds{1000};
 /// Longest time from a stop order to the end of the run.
 inline constexpr Duration maxStopTime = std::chrono::milliseconds{50};
+/// Connections that an upstream accepts, each for one order at a time.
+inline constexpr std::size_t maxConnections = 64;
 
 /// Rates of the faults from which a schedule is drawn by its seed.
 struct WorldFaults
@@ -61,6 +63,13 @@
     double storeDown = 0;
     /// Share of submissions whose caller closes the connection 10 to 400 ms after it submits.
     double callerLeaves = 0;
+    /// Share of submissions whose connection is reset within the caller's deadline. The caller
+    /// submits the job again.
+    double callerReset = 0;
+    /// Share of stop orders that the upstream answers as unhealthy, without an effect.
+    double stopRefused = 0;
+    /// Longest time that an upstream takes to answer a stop order.
+    Duration stopAnswerTime{};
     /// Mean time between jobs. Below 100 ms the jobs exceed the capacity of the upstreams.
     Duration arrivalInterval = std::chrono::milliseconds{150};
     /// Share of runs that fail.
@@ -79,6 +88,10 @@
     /// Share of the first VM's zone that it keeps, relative to the other VMs.
     double firstVmWeight = 1;
     Duration longestEstimate = std::chrono::milliseconds{500};
+    std::uint32_t mostTasks = 6;
+    /// Least and most thousandths of a core of a task.
+    std::uint32_t leastCpu = 15'000;
+    std::uint32_t mostCpu = 41'000;
     Duration callerDeadline = std::chrono::milliseconds{1500};
     /// Most tasks of a job that may run on one upstream at a time; 0 for no limit.
     std::uint32_t maxPerUpstream = 0;
@@ -118,6 +131,16 @@
     std::size_t brokenOffUnstarted() const { return m_brokenOffUnstarted; }
     std::size_t starts() const { return m_starts; }
     std::size_t faultsInjected() const { return m_faultsInjected; }
+    /// Returns the number of runs that ended with their lease.
+    std::size_t lapsedRuns() const { return m_lapsedRuns; }
+    std::size_t stoppedRuns() const { return m_stoppedRuns; }
+    /// Returns the number of orders for which an upstream had no connection left.
+    std::size_t ordersWithoutConnection() const { return m_ordersWithoutConnection; }
+    /// Returns the greatest number of runs that an upstream had at once.
+    std::size_t mostRunsOnAnUpstream() const { return m_mostRunsOnAnUpstream; }
+    /// Returns the number of callers that kept their connection to the end of their deadline, or
+    /// to an answer other than the job's completion.
+    std::size_t undisturbedWithoutAnswer() const { return m_undisturbedWithoutAnswer; }
     std::size_t evacuationsRequested() const { return m_evacuationsRequested; }
     /// Starts in an evacuated zone after the limit by VMs that could not read the store.
     std::size_t startsOfCutOffVms() const { return m_startsOfCutOffVms; }
@@ -130,6 +153,8 @@
     /// The operator requests or withdraws the evacuation of a zone at the current time.
     void requestEvacuation(const ZoneId &zone);
     void withdrawEvacuation(const ZoneId &zone);
+    /// Resets this share of the connections of callers to a VM. They submit their jobs again.
+    void resetCallers(std::size_t vm, double share);
     /// The VM's process does not run for this long. Its links fail if that exceeds their timeout.
     void freeze(std::size_t vm, Duration length);
     /// The store rejects all calls of the VM from now on.
@@ -212,6 +237,8 @@
         std::set<std::size_t> unreachableFrom;
         /// Time up to which all connections are refused although the process is up.
         TimePoint refusesUntil;
+        /// Orders and polls under way, each on a connection.
+        std::size_t openConnections = 0;
     };
     struct Caller
     {
@@ -223,6 +250,8 @@
         bool isConnected = false;
         int answers = 0;
         bool everBrokenOff = false;
+        /// True once the caller has closed its connection, or it was reset.
+        bool hasLeft = false;
     };
     enum class OrderOutcome { Executed, Lost, ReplyLost, Delayed };
 
@@ -275,6 +304,10 @@
     void checkEvacuation(std::size_t vm, const Upstream &upstream);
 
     OrderOutcome drawOrderOutcome();
+    /// Takes a connection of the upstream; false if all are in use.
+    bool takeConnection(const UpstreamId &id);
+    void freeConnection(const UpstreamId &id) { --findUpstream(id).openConnections; }
+    void resetCaller(std::size_t caller);
     /// Returns true if connections of the VM are refused, because the upstream's process has
     /// crashed or a filter between the hosts rejects them.
     bool refusesConnections(std::size_t n, const Upstream &upstream) const;
@@ -282,10 +315,12 @@
     Upstream &findUpstream(const UpstreamId &id);
     UpstreamTime upstreamClock(const Upstream &upstream) const;
     /// Executes an order on the upstream after the network's delay, subject to faults, and calls
-    /// `answer` with its result or with OrderResult::NoAnswer.
+    /// `answerOrder` with its result or with OrderResult::NoAnswer. The upstream takes `answerTime`
+    /// to answer.
     void sendOrder(std::size_t vm, const UpstreamId &id,
                    const std::function<OrderResult(Upstream &)> &executeOrder,
-                   const std::function<void(OrderResult, std::optional<UpstreamTime>)> &answer);
+                   const std::function<void(OrderResult, std::optional<UpstreamTime>)> &answerOrder,
+                   Duration answerTime = {});
     OrderResult startRun(std::size_t vm, Upstream &upstream, const StartOrder &order);
     OrderResult stopRun(Upstream &upstream, const StopOrder &order);
     void sendLook(std::size_t vm, const PollOrder &order);
@@ -347,6 +382,11 @@
     std::set<std::string> m_startedJobs;
     std::size_t m_starts = 0;
     std::size_t m_faultsInjected = 0;
+    std::size_t m_lapsedRuns = 0;
+    std::size_t m_stoppedRuns = 0;
+    std::size_t m_ordersWithoutConnection = 0;
+    std::size_t m_mostRunsOnAnUpstream = 0;
+    std::size_t m_undisturbedWithoutAnswer = 0;
 };
 
 template <typename... Parts>
--- a/src/rattandock/fleet/fleet_world_upstreams_test.cpp
+++ b/src/rattandock/fleet/fleet_world_upstreams_test.cpp
@@ -36,6 +36,17 @@
     return *std::ranges::find(m_upstreams, id, [](const Upstream &it) { return it.entry.id; });
 }
 
+bool FleetWorld::takeConnection(const UpstreamId &id)
+{
+    Upstream &upstream = findUpstream(id);
+    if (upstream.openConnections >= maxConnections) {
+        ++m_ordersWithoutConnection;
+        return false;
+    }
+    ++upstream.openConnections;
+    return true;
+}
+
 UpstreamTime FleetWorld::upstreamClock(const Upstream &upstream) const
 {
     return UpstreamTime{m_now.time_since_epoch() + upstream.clockOffset};
@@ -44,8 +55,18 @@
 void FleetWorld::sendOrder(
         std::size_t n, const UpstreamId &id,
         const std::function<OrderResult(Upstream &)> &executeOrder,
-        const std::function<void(OrderResult, std::optional<UpstreamTime>)> &answer)
+        const std::function<void(OrderResult, std::optional<UpstreamTime>)> &answerOrder,
+        Duration answerTime)
 {
+    if (!takeConnection(id)) {
+        schedule(m_now + networkDelay,
+                 [answerOrder] { answerOrder(OrderResult::NotSent, std::nullopt); });
+        return;
+    }
+    const auto answer = [this, id, answerOrder](OrderResult result, auto clock) {
+        freeConnection(id);
+        answerOrder(result, clock);
+    };
     const OrderOutcome outcome = drawOrderOutcome();
     const auto unanswered = [this, answer](Duration after) {
         schedule(m_now + after, [answer] { answer(OrderResult::NoAnswer, std::nullopt); });
@@ -79,7 +100,8 @@
             return unanswered(orderTimeout);
         }
         const UpstreamTime clock = upstreamClock(upstream);
-        schedule(m_now + networkDelay, [answer, result, clock] { answer(result, clock); });
+        schedule(m_now + networkDelay + answerTime,
+                 [answer, result, clock] { answer(result, clock); });
     });
 }
 
@@ -140,6 +162,7 @@
     upstream.activeRuns[key] = {need,
                                 m_now + (hangs ? 30s : drawDuration(estimate / 2, 2 * estimate)),
                                 drawUniform() < m_faults.runFailure};
+    m_mostRunsOnAnUpstream = std::max(m_mostRunsOnAnUpstream, upstream.activeRuns.size());
     return OrderResult::Done;
 }
 
@@ -149,6 +172,9 @@
         return OrderResult::Fenced;
     }
     upstream.highestToken = order.token;
+    if (m_faults.stopRefused > 0 && drawUniform() < m_faults.stopRefused) {
+        return OrderResult::Unhealthy;
+    }
     const RunKey key{order.name, order.number.value()};
     trace(upstream.entry.id, " receives the stop order for ", order.name.job, " task ",
           order.name.task);
@@ -170,7 +196,13 @@
 void FleetWorld::sendLook(std::size_t n, const PollOrder &request)
 {
     const std::uint64_t process = m_vms[n].process;
+    if (!takeConnection(request.upstream)) {
+        return post(n, process,
+                    RunReportFailed{request.upstream, request.number, OrderResult::NotSent},
+                    networkDelay);
+    }
     const auto failed = [this, n, process, request](OrderResult result, Duration after) {
+        schedule(m_now + after, [this, request] { freeConnection(request.upstream); });
         post(n, process, RunReportFailed{request.upstream, request.number, result}, after);
     };
     const OrderOutcome outcome = drawOrderOutcome();
@@ -212,6 +244,7 @@
 void FleetWorld::answerLook(Upstream &upstream)
 {
     const PendingLook pending = *std::exchange(upstream.pendingLook, std::nullopt);
+    freeConnection(upstream.entry.id);
     RunReport report{upstreamClock(upstream),
                      UpstreamProcessStart{upstream.process},
                      {},
@@ -234,6 +267,8 @@
     trace(upstream.entry.id, " ends ", key.first.job, " task ", key.first.task, " run ", key.second,
           " how ", static_cast<int>(how));
     upstream.activeRuns.erase(key);
+    m_lapsedRuns += how == RunEndKind::Lapsed ? 1 : 0;
+    m_stoppedRuns += how == RunEndKind::Stopped ? 1 : 0;
     auto &highest = upstream.highestEndedRun[key.first];
     highest = std::max(highest, key.second);
     upstream.endedRuns.push_back(
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_set>
+#include <utility>
 
 namespace rattandock::fleet {
 
@@ -14,9 +16,14 @@
 /// Number of token values per epoch, so that a new keeper's tokens exceed all of its predecessor's.
 constexpr std::uint64_t tokenIncrementsPerEpoch = 1U << 20U;
 
-/// Start orders to one upstream that may be unconfirmed. Upstreams accept 64 connections, which the
-/// polls, the stop orders and a previous keeper use too.
+/// Start and stop orders to one upstream that may be under way together. Upstreams accept 64
+/// connections. The poll and a probe take one each, and a former keeper may hold 8 idle ones.
+constexpr std::size_t maxOpenOrders = 54;
+/// Start orders among them, if there are no stop orders.
 constexpr std::size_t maxUnconfirmedRuns = 32;
+/// Start orders for which there is a connection however many runs are being stopped, so that the
+/// jobs of other callers go on.
+constexpr std::size_t reservedStartOrders = 16;
 
 } // namespace
 
@@ -24,6 +31,7 @@
     : m_entry(std::move(entry))
     , m_epoch(epoch)
     , m_times(times)
+    , m_stops(times.stopRetryInterval)
 {
 }
 
@@ -39,7 +47,14 @@
 
 bool UpstreamLedger::mayStart() const
 {
-    return m_runs.size() - m_confirmedRuns < maxUnconfirmedRuns;
+    const std::size_t unconfirmed = m_runs.size() - m_confirmedRuns;
+    return unconfirmed < maxUnconfirmedRuns && unconfirmed + m_stops.openCount() < maxOpenOrders;
+}
+
+std::size_t UpstreamLedger::maxOpenStops() const
+{
+    const std::size_t unconfirmed = m_runs.size() - m_confirmedRuns;
+    return maxOpenOrders - std::clamp(unconfirmed, reservedStartOrders, maxUnconfirmedRuns);
 }
 
 std::size_t UpstreamLedger::runCountOfStep(const RunName &task) const
@@ -59,7 +74,7 @@
 void UpstreamLedger::startSent(const TaskRef &task, const RunName &name, RunNumber number,
                                const Resources &need, TimePoint now)
 {
-    m_runs.emplace(Key{name, number}, Run{task, need, State::Starting, token(), now, {}, {}});
+    m_runs.emplace(ActiveRun{name, number}, Run{task, need, State::Starting, token(), now, {}});
     m_reservedRoom = m_reservedRoom.plus(need);
     leaseSent(now);
 }
@@ -86,7 +101,7 @@
     if (clock) {
         updateClock(*clock, now);
     }
-    const auto it = m_runs.find(Key{name, number});
+    const auto it = m_runs.find(ActiveRun{name, number});
     if (it == m_runs.end()) {
         return;
     }
@@ -130,6 +145,7 @@
 {
     m_reservedRoom = m_reservedRoom.minus(it->second.need);
     m_confirmedRuns -= it->second.confirmed ? 1 : 0;
+    m_stops.remove(it->first);
     return m_runs.erase(it);
 }
 
@@ -179,7 +195,7 @@
     // an old order that is still in transit. It refuses such orders once the next poll has
     // delivered the raised token. Runs that it lists nowhere are ended by reconcile(), except those
     // that were confirmed after the poll was sent: the new process may have started them since.
-    m_unknownRuns.clear();
+    setUnknownRuns({}, now);
     m_acknowledged = {};
     m_acknowledgedByUpstream = {};
     ++m_tokenIncrements;
@@ -250,13 +266,16 @@
 {
     for (const EndedRun &it : report.ended) {
         m_acknowledged = std::max(m_acknowledged, it.position);
-        if (const auto run = m_runs.find(Key{it.name, it.number}); run != m_runs.end()) {
+        if (const auto run = m_runs.find(ActiveRun{it.name, it.number}); run != m_runs.end()) {
             end(run, it.kind, now, out);
         }
     }
-    stopUnknownRuns(report, out);
+    std::vector<ActiveRun> unknown;
+    std::ranges::copy_if(report.active, std::back_inserter(unknown),
+                         [this](const ActiveRun &it) { return !m_runs.contains(it); });
+    setUnknownRuns(std::move(unknown), now);
     for (const ActiveRun &it : report.active) {
-        const auto run = m_runs.find(Key{it.name, it.number});
+        const auto run = m_runs.find(it);
         if (run == m_runs.end()) {
             continue;
         }
@@ -266,19 +285,14 @@
         State &state = run->second.state;
         if (state == State::Starting || state == State::Unconfirmed) {
             state = State::Active;
-        } else if (state == State::Stopping
-                   && now - run->second.stopSent >= m_times.stopRetryInterval) {
-            sendStop(run->first, run->second, now, out);
         }
     }
-    const auto isActive = [&](const Key &key) {
-        return std::ranges::find(report.active, ActiveRun{key.name, key.number})
-               != report.active.end();
-    };
+    const std::unordered_set<ActiveRun, ActiveRunHash> active(report.active.begin(),
+                                                              report.active.end());
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
         const Run &run = it->second;
-        const bool isMissing = !isActive(it->first);
+        const bool isMissing = !active.contains(it->first);
         if (isMissing && run.confirmed && *run.confirmed < poll.sent) {
             // The upstream had confirmed the run and now lists it neither as active nor as ended.
             end(it, RunEndKind::Lapsed, now, out);
@@ -296,15 +310,18 @@
     }
 }
 
-void UpstreamLedger::stopUnknownRuns(const RunReport &report, LedgerOutputs &out)
+void UpstreamLedger::setUnknownRuns(std::vector<ActiveRun> runs, TimePoint now)
 {
-    m_unknownRuns.clear();
-    for (const ActiveRun &it : report.active) {
-        if (!m_runs.contains(Key{it.name, it.number})) {
-            m_unknownRuns.push_back(it);
-            out.emplace_back(StopOrder{m_entry.id, it.name, it.number, token()});
+    const std::unordered_set<ActiveRun, ActiveRunHash> present(runs.begin(), runs.end());
+    for (const ActiveRun &it : m_unknownRuns) {
+        if (!present.contains(it)) {
+            m_stops.remove(it);
         }
     }
+    for (const ActiveRun &it : runs) {
+        m_stops.add(it, now);
+    }
+    m_unknownRuns = std::move(runs);
 }
 
 void UpstreamLedger::pollFailed(PollNumber number, OrderResult result, TimePoint now,
@@ -336,22 +353,25 @@
     for (auto &[key, run] : m_runs) {
         if (run.task == task && run.state != State::Stopping) {
             run.state = State::Stopping;
-            sendStop(key, run, now, out);
-            return;
+            m_stops.add(key, now);
+            return sendDueStops(now, out);
         }
     }
 }
 
-void UpstreamLedger::sendStop(const Key &key, Run &run, TimePoint now, LedgerOutputs &out)
+void UpstreamLedger::sendDueStops(TimePoint now, LedgerOutputs &out)
 {
-    run.stopSent = now;
-    out.emplace_back(StopOrder{m_entry.id, key.name, key.number, token()});
+    for (const ActiveRun &it : m_stops.takeDue(now, maxOpenStops())) {
+        out.emplace_back(StopOrder{m_entry.id, it.name, it.number, token()});
+    }
 }
 
 void UpstreamLedger::stopAnswered(const RunName &name, RunNumber number, OrderResult result,
                                   TimePoint now, LedgerOutputs &out)
 {
-    const auto it = m_runs.find(Key{name, number});
+    m_stops.answered({name, number}, result == OrderResult::Done, now);
+    sendDueStops(now, out);
+    const auto it = m_runs.find(ActiveRun{name, number});
     if (it == m_runs.end()) {
         return;
     }
@@ -445,6 +465,7 @@
     if (const auto expiry = nextExpiry(); expiry && now >= *expiry) {
         endExpired(now, out);
     }
+    sendDueStops(now, out);
     if (!m_openPoll && now >= nextPoll()) {
         sendPoll(now, out);
     }
@@ -456,8 +477,14 @@
     if (!m_openPoll) {
         next = nextPoll();
     }
-    if (const auto expiry = nextExpiry(); expiry && (!next || *expiry < *next)) {
-        next = expiry;
+    const auto consider = [&next](const std::optional<TimePoint> &it) {
+        if (it && (!next || *it < *next)) {
+            next = it;
+        }
+    };
+    consider(nextExpiry());
+    if (m_stops.openCount() < maxOpenStops()) {
+        consider(m_stops.nextDue());
     }
     return next;
 }
