End the lease of an upstream in time for runs whose stop orders fail

Callers saw tasks run twice: an upstream answered the stop orders of a run with 503, while its lease was renewed for the runs of other jobs.

Cause: the lease was not renewed only if all runs of the upstream were being stopped. Nothing tied the renewals to the time at which the job could come back.

No order grants a lease that ends after the limit of any stopped run. Once a report shows the ends, leases are full again. A VM that gets `failed` or `given up` from the VM that has its tasks also holds the job back until the runs there are over.

Weighed: keeping the answer back is not allowed, as the job has been given up. Notifying the VM that gets the job again does not cover VMs without a link.

--- a/include/rattandock/fleet/lease_times.hpp
+++ b/include/rattandock/fleet/lease_times.hpp
@@ -37,9 +37,14 @@
     /// Added to the lease time to cover rounding to whole milliseconds and the network delay of an
     /// order.
     Duration expiryMargin = 25ms;
-    /// Time after which a stop order is sent again if the upstream still reports the run as
-    /// active.
+    /// Time after which an accepted stop order is sent again if no report has listed the end of the
+    /// run. The upstream takes up to 50 ms, and the next report is at most 150 ms away.
     Duration stopRetryInterval = 200ms;
+    /// Time that a VM may take to notice that a caller has left. It is part of the time until the
+    /// caller submits the job again, in which the job's runs must end.
+    Duration callerNoticeReserve = 300ms;
+    /// Least time that a lease must have left for a start under it, so that two polls can renew it.
+    Duration shortestStartLease = 300ms;
 
     /// Returns the time from the end of a lease as granted until it counts as expired.
     constexpr Duration expiryDelay() const { return expiryDelay(lease); }
@@ -50,6 +55,9 @@
                                                    * maxClockDrift)}
                + expiryMargin;
     }
+    /// Returns the time from the end of a job until none of its runs on upstreams of the VM that
+    /// answered its caller may execute.
+    constexpr Duration stopLimit() const { return callerResubmitDelay - callerNoticeReserve; }
     /// Returns the time from the failure of a VM, or of the link to it, until no run that depends
     /// on it can execute: its silence is detected after `peerSilence`, and leases that were renewed
     /// until then expire.
--- a/include/rattandock/fleet/stop_queue.hpp
+++ b/include/rattandock/fleet/stop_queue.hpp
@@ -27,8 +27,8 @@
     {
     }
 
-    /// Adds a run. No effect if it was added before.
-    void add(const ActiveRun &run, TimePoint now);
+    /// Adds a run that must have ended by `limit`. If it was added before, the earlier limit holds.
+    void add(const ActiveRun &run, TimePoint limit, TimePoint now);
     /// Removes a run that has ended. An order for it that is under way still counts as open.
     void remove(const ActiveRun &run);
     /// Returns the runs to send stop orders for, so that at most `maxOpen` orders are under way.
@@ -39,12 +39,16 @@
     void answered(const ActiveRun &run, bool isAccepted, TimePoint now);
     /// Returns when the next order is due; `std::nullopt` if none is.
     std::optional<TimePoint> nextDue() const;
+    /// Returns the earliest limit of a run; the latest time possible without any.
+    TimePoint earliestLimit() const;
     /// Returns the number of orders without an answer.
     std::size_t openCount() const { return m_open.size(); }
 
 private:
     struct Stop
     {
+        /// When the run must have ended.
+        TimePoint limit;
         /// When the next order is due; unset while one is under way.
         std::optional<TimePoint> due;
         /// Orders in a row that the upstream has not accepted.
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -106,10 +106,10 @@
     /// Returns false before the first report, while polls fail, and while the upstream still has
     /// runs of a previous keeper, whose size is unknown.
     bool takesOrders() const;
-    /// Returns false while many start orders are unconfirmed or stop orders are under way. Each
-    /// holds a connection, and tasks that need no resources would otherwise be started without a
-    /// limit.
-    bool mayStart() const;
+    /// Returns false while many start orders are unconfirmed or stop orders are under way, as each
+    /// holds a connection and tasks that need no resources would otherwise be started without a
+    /// limit, and while the lease must end soon because of a run whose stop orders fail.
+    bool mayStart(TimePoint now) const;
     /// Returns true if the last poll failed.
     bool isSilent() const { return m_failures > 0; }
     Resources freeRoom() const { return m_entry.capacity.minus(m_reservedRoom); }
@@ -137,8 +137,9 @@
     void stopAnswered(const RunName &name, RunNumber number, OrderResult result, TimePoint now,
                       LedgerOutputs &out);
     /// Stops the run: sends the order as soon as a connection is free for it, and again until a
-    /// report shows the end. No effect if the run has ended or is being stopped.
-    void stop(const TaskRef &task, TimePoint now, LedgerOutputs &out);
+    /// report shows the end. If none does so before, the lease of all runs of the upstream ends in
+    /// time for the run to be over by `limit`. No effect if the run has ended.
+    void stop(const TaskRef &task, TimePoint limit, TimePoint now, LedgerOutputs &out);
 
     /// Sends a poll if one is due, and ends all runs if their lease has expired.
     void step(TimePoint now, LedgerOutputs &out);
@@ -199,6 +200,9 @@
     /// Records a reading of the upstream's clock, and the end of the lease that a new process may
     /// have granted by the clock of the former one.
     void updateClock(UpstreamTime clock, TimePoint now);
+    /// Returns the local end of a lease that is granted at `now`: after the lease time, but early
+    /// enough that each stopped run is over by its limit. Not after `now` if that cannot be.
+    TimePoint grantedLeaseEnd(TimePoint now) const;
     /// Records that an order with a lease is sent.
     void leaseSent(TimePoint now);
     void confirm(Run &run, TimePoint now);
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -151,6 +151,11 @@
 
 void FleetDispatcher::stopTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions)
 {
+    // The caller submits the job again some time after this VM has answered or lost it. The end of
+    // another VM's offer may reach this VM as late as the silence limit of their link allows.
+    const LeaseTimes &times = m_options.lease;
+    const bool isOffered = std::holds_alternative<OfferOrigin>(job.origin);
+    const TimePoint limit = now + (isOffered ? times.runsEndAfter({}) : times.stopLimit());
     std::size_t running = 0;
     LedgerOutputs outputs;
     for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
@@ -164,7 +169,7 @@
         }
         ++running;
         if (const auto kept = m_keptUpstreams.find(task.upstream); kept != m_keptUpstreams.end()) {
-            kept->second.ledger.stop({number, TaskIndex{n}}, now, outputs);
+            kept->second.ledger.stop({number, TaskIndex{n}}, limit, now, outputs);
         }
     }
     for (LedgerOutput &it : outputs) {
--- a/src/rattandock/fleet/fleet_dispatcher_offers.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_offers.cpp
@@ -298,6 +298,10 @@
         job.hasStarted = true;
         job.hasStartedElsewhere = true;
     }
+    if (event.end.result == OfferResult::Failed || event.end.result == OfferResult::GivenUp) {
+        // The other VM answers at once and stops the tasks that are still at work.
+        m_endingRuns.holdUntil(job.spec.id, now + m_options.lease.runsEndAfter({}));
+    }
     switch (event.end.result) {
     case OfferResult::Done:
         for (const std::uint32_t index : offer.tasks) {
--- a/src/rattandock/fleet/fleet_dispatcher_runs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_runs.cpp
@@ -143,7 +143,7 @@
     const auto reserved = reservedFactor(job, now);
     for (auto &[id, it] : m_keptUpstreams) {
         const UpstreamEntry &entry = it.ledger.entry();
-        if (entry.service != job.spec.service || !mayPlaceOn(it, now) || !it.ledger.mayStart()
+        if (entry.service != job.spec.service || !mayPlaceOn(it, now) || !it.ledger.mayStart(now)
             || (reserved && runFactor(entry) <= *reserved)) {
             continue;
         }
@@ -462,7 +462,8 @@
             if (verdict == OverdueAction::Restart) {
                 ++job.overdueStops;
                 LedgerOutputs outputs;
-                kept->second.ledger.stop({number, TaskIndex{n}}, now, outputs);
+                // The job's own next start waits for the end of this run, so it has no limit.
+                kept->second.ledger.stop({number, TaskIndex{n}}, TimePoint::max(), now, outputs);
                 applyLedgerOutputs(kept->first, outputs, now, actions);
             }
         }
--- a/src/rattandock/fleet/fleet_stops_test.cpp
+++ b/src/rattandock/fleet/fleet_stops_test.cpp
@@ -54,4 +54,36 @@
     }
 }
 
+// Guards against two concurrent runs of a task whose stop orders fail: the lease of the stopped run
+// was renewed for the runs of other jobs on the upstream.
+BOOST_AUTO_TEST_CASE(endsRunsBeforeTheirJobsComeBackWhileStopOrdersFail)
+{
+    for (const double refused : {0.4, 0.9, 1.0}) {
+        std::size_t lapsed = 0;
+        std::size_t stopped = 0;
+        std::size_t completed = 0;
+        for (std::uint64_t seed = 21'000; seed < 21'050; ++seed) {
+            FleetWorld world{seed,
+                             {.callerReset = 0.3,
+                              .stopRefused = refused,
+                              .arrivalInterval = std::chrono::milliseconds{80},
+                              .longestEstimate = std::chrono::milliseconds{2500},
+                              .leastCpu = 1000,
+                              .mostCpu = 8000,
+                              .callerDeadline = std::chrono::milliseconds{6000}}};
+            world.run(14s);
+            BOOST_TEST_CONTEXT("seed " << seed << ", " << refused << " of the stops refused")
+            {
+                BOOST_TEST(world.violations().empty());
+            }
+            lapsed += world.lapsedRuns();
+            stopped += world.stoppedRuns();
+            completed += world.completed();
+        }
+        BOOST_TEST_MESSAGE(refused << " refused: " << stopped << " runs stopped, " << lapsed
+                                   << " lapsed, " << completed << " jobs completed");
+        BOOST_TEST(completed > 0);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/stop_queue.cpp
+++ b/src/rattandock/fleet/stop_queue.cpp
@@ -21,10 +21,13 @@
     m_due.emplace(due, run);
 }
 
-void StopQueue::add(const ActiveRun &run, TimePoint now)
+void StopQueue::add(const ActiveRun &run, TimePoint limit, TimePoint now)
 {
-    if (const auto [it, isNew] = m_stops.try_emplace(run); isNew) {
+    const auto [it, isNew] = m_stops.try_emplace(run, Stop{limit, std::nullopt, 0});
+    if (isNew) {
         setDue(run, it->second, now);
+    } else {
+        it->second.limit = std::min(it->second.limit, limit);
     }
 }
 
@@ -73,6 +76,15 @@
     setDue(run, stop, now + std::min(delay, m_repeatInterval));
 }
 
+TimePoint StopQueue::earliestLimit() const
+{
+    TimePoint earliest = TimePoint::max();
+    for (const auto &[run, stop] : m_stops) {
+        earliest = std::min(earliest, stop.limit);
+    }
+    return earliest;
+}
+
 std::optional<TimePoint> StopQueue::nextDue() const
 {
     return m_due.empty() ? std::nullopt : std::optional{m_due.begin()->first};
--- a/src/rattandock/fleet/stop_queue_test.cpp
+++ b/src/rattandock/fleet/stop_queue_test.cpp
@@ -28,7 +28,7 @@
 BOOST_AUTO_TEST_CASE(sendsTheNextOrderAsSoonAsOneIsAnswered)
 {
     for (std::uint32_t task = 0; task < 10; ++task) {
-        queue.add(run(task), now);
+        queue.add(run(task), now + 1s, now);
     }
     BOOST_TEST((take() == std::vector{run(0), run(1), run(2), run(3)}));
     BOOST_TEST(take().empty());
@@ -40,7 +40,7 @@
 // Guards against a run that goes on because its order was refused or lost.
 BOOST_AUTO_TEST_CASE(repeatsARefusedOrderWithGrowingDelay)
 {
-    queue.add(run(0), now);
+    queue.add(run(0), now + 1s, now);
     Duration former{};
     for (int n = 0; n < 8; ++n) {
         BOOST_TEST(take().size() == 1);
@@ -57,7 +57,7 @@
 // Guards against a run that goes on although the upstream has accepted the order.
 BOOST_AUTO_TEST_CASE(repeatsAnAcceptedOrderUntilTheRunHasEnded)
 {
-    queue.add(run(0), now);
+    queue.add(run(0), now + 1s, now);
     take();
     queue.answered(run(0), true, now);
     now += repeatInterval - 1ms;
@@ -75,8 +75,8 @@
 // connection, and answers to a former keeper's orders free none.
 BOOST_AUTO_TEST_CASE(countsOrdersUntilTheirAnswer)
 {
-    queue.add(run(0), now);
-    queue.add(run(1), now);
+    queue.add(run(0), now + 1s, now);
+    queue.add(run(1), now + 1s, now);
     BOOST_TEST(take(1).size() == 1);
     queue.remove(run(0));
     BOOST_TEST(take(1).empty());
@@ -90,10 +90,10 @@
 // order was under way.
 BOOST_AUTO_TEST_CASE(stopsARunWithTheNumberOfAnEndedOne)
 {
-    queue.add(run(0), now);
+    queue.add(run(0), now + 1s, now);
     take();
     queue.remove(run(0));
-    queue.add(run(0), now);
+    queue.add(run(0), now + 1s, now);
     BOOST_TEST(take().size() == 1);
     BOOST_TEST(queue.openCount() == 2);
     queue.answered(run(0), true, now);
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -45,10 +45,11 @@
     return m_clock && m_failures == 0 && m_unknownRuns.empty();
 }
 
-bool UpstreamLedger::mayStart() const
+bool UpstreamLedger::mayStart(TimePoint now) const
 {
     const std::size_t unconfirmed = m_runs.size() - m_confirmedRuns;
-    return unconfirmed < maxUnconfirmedRuns && unconfirmed + m_stops.openCount() < maxOpenOrders;
+    return unconfirmed < maxUnconfirmedRuns && unconfirmed + m_stops.openCount() < maxOpenOrders
+           && grantedLeaseEnd(now) - now >= m_times.shortestStartLease;
 }
 
 std::size_t UpstreamLedger::maxOpenStops() const
@@ -66,9 +67,14 @@
     return static_cast<std::size_t>(own + unknown);
 }
 
+TimePoint UpstreamLedger::grantedLeaseEnd(TimePoint now) const
+{
+    return std::min(now + m_times.lease, m_stops.earliestLimit() - m_times.expiryDelay());
+}
+
 UpstreamTime UpstreamLedger::leaseUntil(TimePoint now) const
 {
-    return UpstreamTime{m_clock->first.value() + (now - m_clock->second) + m_times.lease};
+    return UpstreamTime{m_clock->first.value() + (grantedLeaseEnd(now) - m_clock->second)};
 }
 
 void UpstreamLedger::startSent(const TaskRef &task, const RunName &name, RunNumber number,
@@ -82,7 +88,7 @@
 void UpstreamLedger::leaseSent(TimePoint now)
 {
     m_leaseSent = now;
-    m_leaseEnd = std::max(m_leaseEnd, now + m_times.lease);
+    m_leaseEnd = std::max(m_leaseEnd, grantedLeaseEnd(now));
     m_leaseUntil = std::max(m_leaseUntil, leaseUntil(now));
 }
 
@@ -318,8 +324,10 @@
             m_stops.remove(it);
         }
     }
+    // Whose runs these are is unknown: their jobs may be at work elsewhere already.
+    const TimePoint limit = now + m_times.runsEndAfter({});
     for (const ActiveRun &it : runs) {
-        m_stops.add(it, now);
+        m_stops.add(it, limit, now);
     }
     m_unknownRuns = std::move(runs);
 }
@@ -348,12 +356,12 @@
     m_retryAt = now + pause;
 }
 
-void UpstreamLedger::stop(const TaskRef &task, TimePoint now, LedgerOutputs &out)
+void UpstreamLedger::stop(const TaskRef &task, TimePoint limit, TimePoint now, LedgerOutputs &out)
 {
     for (auto &[key, run] : m_runs) {
-        if (run.task == task && run.state != State::Stopping) {
+        if (run.task == task) {
             run.state = State::Stopping;
-            m_stops.add(key, now);
+            m_stops.add(key, limit, now);
             return sendDueStops(now, out);
         }
     }
@@ -406,7 +414,7 @@
     PollOrder order{m_entry.id, number, token(), m_acknowledged, {}, {}};
     // After a failed poll, the lease is not renewed until a reply arrives. Otherwise each lost poll
     // would move the time at which the runs are considered ended.
-    if (needsLease && m_clock && m_failures == 0) {
+    if (needsLease && m_clock && m_failures == 0 && grantedLeaseEnd(now) > now) {
         order.leaseUntil = leaseUntil(now);
         leaseSent(now);
     }
