Take no run for lost while a report may list more ends

Change: a report of 500 ends is marked, and ends no run that it does not list. The next poll acknowledges the ends and is sent at once, as before.

Evidence: UpstreamLedgerTest/endsNoMissingRunByAReportThatMayGoOn and PlatformCodecTest/marksAReportThatMayNotListAllEnds; there is no mark in the former code.

--- a/include/rattandock/fleet/run_report.hpp
+++ b/include/rattandock/fleet/run_report.hpp
@@ -74,6 +74,9 @@
     std::vector<ActiveRun> active;
     /// Ended runs that were not acknowledged yet, in ascending order of position.
     std::vector<EndedRun> ended;
+    /// True if more runs may have ended than `ended` lists. The next report lists them, once these
+    /// are acknowledged.
+    bool hasMoreEnds = false;
 
     friend bool operator==(const RunReport &, const RunReport &) = default;
 };
--- a/include/rattandock/fleet/upstream_ledger.hpp
+++ b/include/rattandock/fleet/upstream_ledger.hpp
@@ -212,6 +212,10 @@
     /// Returns how many stop orders may be under way.
     std::size_t maxOpenStops() const;
     void reconcile(const Poll &poll, const RunReport &report, TimePoint now, LedgerOutputs &out);
+    /// Ends the runs that the report lists nowhere although it would if they could be active.
+    /// Precondition: the report lists all ends.
+    void endMissingRuns(const Poll &poll, const RunReport &report, TimePoint now,
+                        LedgerOutputs &out);
     /// Replaces the list of runs that this ledger did not start, and stops them.
     void setUnknownRuns(std::vector<ActiveRun> runs, TimePoint now);
     /// Returns when the confirmed runs end on the upstream if their lease is not renewed. Includes
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -34,6 +34,8 @@
 inline constexpr Duration maxLease = std::chrono::milliseconds{1000};
 /// Longest time from a stop order to the end of the run.
 inline constexpr Duration maxStopTime = std::chrono::milliseconds{50};
+/// Most ends that a report of an upstream lists.
+inline constexpr std::size_t endsPerReport = 500;
 /// Connections that an upstream accepts, each for one order at a time.
 inline constexpr std::size_t maxConnections = 64;
 
--- a/src/rattandock/fleet/fleet_world_upstreams_test.cpp
+++ b/src/rattandock/fleet/fleet_world_upstreams_test.cpp
@@ -249,6 +249,8 @@
                      UpstreamProcessStart{upstream.process},
                      {},
                      upstream.endedRuns};
+    report.hasMoreEnds = report.ended.size() >= endsPerReport;
+    report.ended.resize(std::min(report.ended.size(), endsPerReport));
     for (const auto &[key, active] : upstream.activeRuns) {
         report.active.push_back({key.first, RunNumber{key.second}});
     }
--- a/src/rattandock/fleet/upstream_ledger.cpp
+++ b/src/rattandock/fleet/upstream_ledger.cpp
@@ -293,6 +293,15 @@
             state = State::Active;
         }
     }
+    // A run that is not listed may be among the ends of the next report.
+    if (!report.hasMoreEnds) {
+        endMissingRuns(poll, report, now, out);
+    }
+}
+
+void UpstreamLedger::endMissingRuns(const Poll &poll, const RunReport &report, TimePoint now,
+                                    LedgerOutputs &out)
+{
     const std::unordered_set<ActiveRun, ActiveRunHash> active(report.active.begin(),
                                                               report.active.end());
     for (auto it = m_runs.begin(); it != m_runs.end();) {
