--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -146,6 +146,29 @@
     schedule(m_now + drawDuration(300ms, 4s), [this, n] { startVm(n); });
 }
 
+void FleetWorld::stopVm(std::size_t n)
+{
+    const std::uint64_t process = m_vms[n].process;
+    if (!m_vms[n].dispatcher) {
+        return;
+    }
+    trace("planned stop of ", m_vms[n].id);
+    post(n, process, StopRequested{}, Duration{});
+    const TimePoint limit = m_now + FleetOptions{}.stopLimit + 500ms;
+    const auto endProcess = std::make_shared<std::function<void()>>();
+    *endProcess = [this, n, process, limit, weak = std::weak_ptr(endProcess)] {
+        Vm &it = m_vms[n];
+        if (it.process != process || !it.dispatcher) {
+            return;
+        }
+        if (it.dispatcher->isStopped() || m_now >= limit) {
+            return killVm(n);
+        }
+        schedule(m_now + tick, [self = weak.lock()] { (*self)(); });
+    };
+    schedule(m_now + tick, [endProcess] { (*endProcess)(); });
+}
+
 void FleetWorld::post(std::size_t n, std::uint64_t process, FleetEvent event, Duration delay)
 {
     schedule(m_now + delay, [this, n, process, event = std::move(event)] {
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -157,6 +157,11 @@
     void withdrawEvacuation(const ZoneId &zone);
     /// Resets this share of the connections of callers to a VM. They submit their jobs again.
     void resetCallers(std::size_t vm, double share);
+    /// Ends the VM's process at once. Another one starts 0.3 to 4 s later.
+    void killVm(std::size_t vm);
+    /// Stops the VM as planned: its process ends once it is done, or after the limit, and another
+    /// one starts.
+    void stopVm(std::size_t vm);
     /// The VM's process does not run for this long. Its links fail if that exceeds their timeout.
     void freeze(std::size_t vm, Duration length);
     /// The store rejects all calls of the VM from now on.
@@ -269,7 +274,6 @@
     void trace(const Parts &...parts);
 
     void startVm(std::size_t vm);
-    void killVm(std::size_t vm);
     /// Delivers the event to the VM after `delay` if `process` still runs there.
     void post(std::size_t vm, std::uint64_t process, FleetEvent event, Duration delay);
     /// Handles the event, or holds it back while the VM is frozen.
