Close the connections to an upstream that another VM keeps

Found by reading: an upstream accepts 64 connections, and each former keeper kept up to 8 idle ones to it for as long as its process lived. After hand-overs between several VMs a keeper would find too few of them free for its orders, in particular for the stops of hundreds of runs.

Change: when a VM ceases to keep an upstream, it closes its idle connections there, and those that exchanges leave idle later.

Evidence: FleetLoopTest/releasesTheConnectionsToAnUpstreamThatAnotherVmKeeps and HttpConnectionsTest/closesTheIdleConnectionsToAServer; the former code has nothing to call.

--- a/include/rattandock/adapters/http_connections.hpp
+++ b/include/rattandock/adapters/http_connections.hpp
@@ -36,6 +36,9 @@
     /// Makes a connection and keeps it for the next exchange; false if that fails.
     bool connect(const boost::asio::ip::tcp::endpoint &server, Duration limit);
 
+    /// Closes the connections to the server that no exchange uses.
+    void closeIdle(const boost::asio::ip::tcp::endpoint &server);
+
     /// Ends all exchanges; later ones fail at once.
     void shutDown();
 
--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -89,6 +89,8 @@
     void probe(fleet::ProbeUpstream order);
     void finish(CallerRequestId request, std::optional<fleet::JobEnd> end);
     std::optional<boost::asio::ip::tcp::endpoint> addressOf(const UpstreamId &upstream);
+    void releaseUnlessKept(const UpstreamId &upstream,
+                           const boost::asio::ip::tcp::endpoint &address);
     void onPeerEvent(core::Event event);
     void onPeerMessage(const core::PeerMessageReceived &event);
 
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -180,15 +180,22 @@
     std::vector<VmId> vms;
 };
 
+/// This VM sends no further orders to the upstream at this address, as another one may keep it now.
+struct ReleaseConnections
+{
+    /// `IP:PORT`.
+    std::string address;
+};
+
 /// Closes the connections to and from all other VMs, with what they have not delivered. They are
 /// set up again.
 struct ResetPeerConnections
 {
 };
 
-using FleetAction =
-        std::variant<StartOrder, PollOrder, StopOrder, AnswerJob, SendToVm, SendHeartbeat,
-                     WriteKeepers, ProbeUpstream, ResetPeerConnections, FleetLogRecord>;
+using FleetAction = std::variant<StartOrder, PollOrder, StopOrder, AnswerJob, SendToVm,
+                                 SendHeartbeat, WriteKeepers, ProbeUpstream, ResetPeerConnections,
+                                 ReleaseConnections, FleetLogRecord>;
 using FleetActions = std::vector<FleetAction>;
 
 } // namespace rattandock::fleet
--- a/include/rattandock/ports/upstream_orders.hpp
+++ b/include/rattandock/ports/upstream_orders.hpp
@@ -32,6 +32,8 @@
                            const fleet::PollOrder &order) = 0;
     /// Whether a connection can be made.
     virtual bool isReachable(const boost::asio::ip::tcp::endpoint &upstream) = 0;
+    /// Closes the idle connections to an upstream. It accepts few, which its next keeper needs.
+    virtual void release(const boost::asio::ip::tcp::endpoint &upstream) = 0;
 };
 
 } // namespace rattandock::ports
--- a/src/rattandock/adapters/http_connections.cpp
+++ b/src/rattandock/adapters/http_connections.cpp
@@ -258,6 +258,11 @@
     return response;
 }
 
+void HttpConnections::closeIdle(const tcp::endpoint &server)
+{
+    m_idle.erase(server);
+}
+
 void HttpConnections::shutDown()
 {
     m_isShutDown = true;
--- a/src/rattandock/adapters/http_connections_test.cpp
+++ b/src/rattandock/adapters/http_connections_test.cpp
@@ -1,5 +1,6 @@
 #include "rattandock/adapters/http_connections.hpp"
 
+#include <atomic>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/fiber/operations.hpp>
@@ -73,4 +74,39 @@
     server.join();
 }
 
+// Guards against a server without a free connection, because clients that need it no longer keep
+// theirs.
+BOOST_AUTO_TEST_CASE(closesTheIdleConnectionsToAServer)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor{io, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+    std::atomic<bool> isClosed = false;
+    std::thread server{[&] {
+        boost::asio::ip::tcp::socket socket = acceptor.accept();
+        std::string text(1000, ' ');
+        socket.read_some(boost::asio::buffer(text));
+        boost::asio::write(socket, boost::asio::buffer(std::string{
+                                           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}));
+        boost::system::error_code ec;
+        socket.read_some(boost::asio::buffer(text), ec);
+        isClosed = ec == boost::asio::error::eof;
+    }};
+    IoThreads threads{1};
+    std::promise<bool> done;
+    threads.spawn(0, [&] {
+        HttpConnections connections{4};
+        const auto address = acceptor.local_endpoint();
+        const auto reply = connections.exchange(address, {"GET", "/", {}, {}, {}, {}, {}},
+                                                ExchangeLimits::ofWhole(10s));
+        connections.closeIdle(address);
+        // The connection has to end before this object does.
+        for (int n = 0; n < 1000 && !isClosed; ++n) {
+            boost::this_fiber::sleep_for(10ms);
+        }
+        done.set_value(reply.has_value() && isClosed);
+    });
+    BOOST_TEST(done.get_future().get());
+    server.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/app/fleet_api_test.cpp
+++ b/src/rattandock/app/fleet_api_test.cpp
@@ -32,6 +32,7 @@
         return fleet::OrderResult::NotSent;
     }
     bool isReachable(const boost::asio::ip::tcp::endpoint & /*upstream*/) override { return false; }
+    void release(const boost::asio::ip::tcp::endpoint & /*upstream*/) override { }
 };
 
 struct Fixture
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -151,6 +151,11 @@
                               [&](const fleet::ResetPeerConnections &) {
                                   m_hooks.resetPeerConnections();
                               },
+                              [&](const fleet::ReleaseConnections &it) {
+                                  if (const auto address = adapters::parseEndpoint(it.address)) {
+                                      m_orders.release(*address);
+                                  }
+                              },
                               [&](fleet::FleetLogRecord &it) { m_history.note(it, now); }},
                    action);
     }
@@ -162,6 +167,15 @@
     return entry == nullptr ? std::nullopt : adapters::parseEndpoint(entry->address);
 }
 
+void FleetLoop::releaseUnlessKept(const UpstreamId &upstream,
+                                  const boost::asio::ip::tcp::endpoint &address)
+{
+    // The exchange that ended has left its connection idle.
+    if (m_dispatcher.findKeptUpstream(upstream) == nullptr) {
+        m_orders.release(address);
+    }
+}
+
 void FleetLoop::start(fleet::StartOrder order)
 {
     const auto address = addressOf(order.upstream);
@@ -171,6 +185,7 @@
     }
     adapters::spawnFiber([this, address, order = std::move(order)] {
         const ports::StartReply reply = m_orders.start(*address, order);
+        releaseUnlessKept(order.upstream, *address);
         post(fleet::StartOrderCompleted{order.upstream, order.name, order.number, reply.result,
                                         reply.clock});
     });
@@ -185,6 +200,7 @@
     }
     adapters::spawnFiber([this, address, order = std::move(order)] {
         const fleet::OrderResult result = m_orders.stop(*address, order);
+        releaseUnlessKept(order.upstream, *address);
         post(fleet::StopOrderCompleted{order.upstream, order.name, order.number, result});
     });
 }
@@ -198,6 +214,7 @@
     }
     adapters::spawnFiber([this, address, order = std::move(order)] {
         ports::LookReply reply = m_orders.look(*address, order);
+        releaseUnlessKept(order.upstream, *address);
         if (auto *const report = std::get_if<fleet::RunReport>(&reply)) {
             post(fleet::RunReportReceived{order.upstream, order.number, std::move(*report)});
         } else {
--- a/src/rattandock/app/fleet_loop_test.cpp
+++ b/src/rattandock/app/fleet_loop_test.cpp
@@ -57,6 +57,7 @@
         return fleet::RunReport{clock(), fleet::UpstreamProcessStart{1}, active, ended};
     }
     bool isReachable(const boost::asio::ip::tcp::endpoint & /*address*/) override { return true; }
+    void release(const boost::asio::ip::tcp::endpoint & /*address*/) override { ++releases; }
 
     static fleet::UpstreamTime clock()
     {
@@ -67,6 +68,7 @@
     std::vector<fleet::ActiveRun> active;
     std::vector<fleet::EndedRun> ended;
     std::uint64_t lastEnd = 0;
+    int releases = 0;
     int openStops = 0;
     int mostOpenStops = 0;
 };
@@ -212,4 +214,20 @@
     onThread([&] { callers.back()(); });
 }
 
+// Guards against a keeper that finds too few of an upstream's 64 connections free: former keepers
+// kept theirs open.
+BOOST_AUTO_TEST_CASE(releasesTheConnectionsToAnUpstreamThatAnotherVmKeeps)
+{
+    keepOneUpstream(10);
+    BOOST_REQUIRE(holdsWithin(fleet::callerResubmitDelay,
+                              [&] { return loop.dispatcher().status().keptUpstreams == 1; }));
+    BOOST_TEST(orders.releases == 0);
+    onThread([&] {
+        loop.post(fleet::KeepersRead{
+                {fleet::KeeperRow{UpstreamId{"u"}, ZoneId{"z"}, VmId{"b"}, Incarnation{2}, 2, 2}},
+                true});
+    });
+    BOOST_TEST(holdsWithin(fleet::callerResubmitDelay, [&] { return orders.releases > 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_upstreams.cpp
@@ -209,6 +209,7 @@
     }
     UpstreamLedger &ledger = node.mapped().ledger;
     m_abandonedEpochs[id] = ledger.epoch();
+    actions.emplace_back(ReleaseConnections{ledger.entry().address});
     if (ledger.runCount() > 0) {
         actions.emplace_back(
                 FleetLogRecord{FleetLogRecordKind::UpstreamLost,
--- a/src/rattandock/fleet/fleet_replay_world_test.cpp
+++ b/src/rattandock/fleet/fleet_replay_world_test.cpp
@@ -203,24 +203,24 @@
 void FleetReplay::execute(std::size_t vm, FleetActions &actions)
 {
     for (FleetAction &action : actions) {
-        std::visit(Overloaded{[&](const StartOrder &it) { start(vm, it); },
-                              [&](const StopOrder &it) { stop(vm, it); },
-                              [&](const PollOrder &it) { poll(vm, it); },
-                              [&](const AnswerJob &it) {
-                                  Outcome &outcome = m_outcomes[it.request.value() - 1];
-                                  outcome.isCompleted =
-                                          std::holds_alternative<JobCompleted>(it.end);
-                                  outcome.isBrokenOff =
-                                          std::holds_alternative<JobBrokenOff>(it.end);
-                              },
-                              [&](const SendToVm &it) { sendToVm(vm, it); },
-                              [&](const SendHeartbeat &it) { sendHeartbeat(vm, it.vms); },
-                              [&](const WriteKeepers &it) { writeKeepers(vm, it); },
-                              [&](const ProbeUpstream &it) {
-                                  post(vm, UpstreamProbed{it.zone, true}, 2ms);
-                              },
-                              [](const ResetPeerConnections &) {}, [](const FleetLogRecord &) {}},
-                   action);
+        std::visit(
+                Overloaded{[&](const StartOrder &it) { start(vm, it); },
+                           [&](const StopOrder &it) { stop(vm, it); },
+                           [&](const PollOrder &it) { poll(vm, it); },
+                           [&](const AnswerJob &it) {
+                               Outcome &outcome = m_outcomes[it.request.value() - 1];
+                               outcome.isCompleted = std::holds_alternative<JobCompleted>(it.end);
+                               outcome.isBrokenOff = std::holds_alternative<JobBrokenOff>(it.end);
+                           },
+                           [&](const SendToVm &it) { sendToVm(vm, it); },
+                           [&](const SendHeartbeat &it) { sendHeartbeat(vm, it.vms); },
+                           [&](const WriteKeepers &it) { writeKeepers(vm, it); },
+                           [&](const ProbeUpstream &it) {
+                               post(vm, UpstreamProbed{it.zone, true}, 2ms);
+                           },
+                           [](const ResetPeerConnections &) {}, [](const ReleaseConnections &) {},
+                           [](const FleetLogRecord &) {}},
+                action);
     }
 }
 
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -269,6 +269,7 @@
                                   post(n, process, UpstreamProbed{it.zone, true}, 2ms);
                               },
                               [&](const ResetPeerConnections &) { resetLinks(n); },
+                              [](const ReleaseConnections &) {},
                               [&](const FleetLogRecord &it) {
                                   trace(m_vms[n].id, ' ', name(it.kind), ' ', it.reason, ' ',
                                         it.job, ' ', it.detail);
