--- a/src/rattandock/fleet/stop_queue.cpp
+++ b/src/rattandock/fleet/stop_queue.cpp
@@ -9,10 +9,10 @@
 /// Delay before an order is repeated that the upstream has not accepted.
 constexpr Duration retryDelay = std::chrono::milliseconds{25};
 /// The delay is this long for each run whose order was not accepted, if that is longer. It bounds
-/// the retries to one upstream to a thousand a second, whose answers a small VM can process.
+/// the retries to one upstream to a thousand a second.
 constexpr Duration retryDelayPerRun = std::chrono::milliseconds{1};
-/// Number of failures in a row after which the delay is the repeat interval. By then, the jobs of
-/// most runs could come back, and their runs have ended with the lease.
+/// Number of failures in a row after which the delay is the repeat interval. The lease of a run
+/// whose job has ended is over by then.
 constexpr unsigned quickRetries = 24;
 /// An order without an answer is repeated after this time. An upstream takes up to 50 ms, and
 /// orders that it received may be executed seconds late.
