End a job that its caller cancels at the VM that has it

Cause: the caller API answered each DELETE as for an unknown job, without asking the dispatcher.

Change: the VM whose caller waits for the job ends it. Its runs are stopped and its offers withdrawn like those of a caller who has left; POST is answered 200 `failed`, DELETE 200 `cancelled`.

--- a/include/rattandock/app/fleet_api.hpp
+++ b/include/rattandock/app/fleet_api.hpp
@@ -23,6 +23,7 @@
     std::function<adapters::HttpResponse()> encodeNoConfiguration;
     std::function<adapters::HttpResponse()> encodeUnknownQueue;
     std::function<adapters::HttpResponse()> encodeUnknownJob;
+    std::function<adapters::HttpResponse()> encodeCancelled;
     std::function<adapters::HttpResponse(const Findings &)> encodeBadSubmission;
     std::function<adapters::HttpResponse(std::size_t)> encodeWaiting;
 };
--- a/include/rattandock/app/fleet_loop.hpp
+++ b/include/rattandock/app/fleet_loop.hpp
@@ -68,6 +68,9 @@
     submit(fleet::FleetJob job,
            const std::function<void(std::function<void()> onClosed)> &watchClose);
 
+    /// Cancels a job and answers its caller. Returns false if no caller of this VM waits for it.
+    bool cancel(const JobId &job);
+
     const fleet::FleetDispatcher &dispatcher() const { return m_dispatcher; }
     TimePoint now() const { return m_clock.now(); }
     /// Stops the timer; later events are dropped.
--- a/include/rattandock/fleet/fleet_action.hpp
+++ b/include/rattandock/fleet/fleet_action.hpp
@@ -53,8 +53,10 @@
     Attempts,
     /// Upstreams crashed under a task repeatedly.
     UpstreamCrashes,
+    /// The caller has cancelled the job.
+    Cancelled,
 };
-inline constexpr std::size_t failureReasonCount = 2;
+inline constexpr std::size_t failureReasonCount = 3;
 std::string_view name(FailureReason reason);
 
 struct JobCompleted
--- a/include/rattandock/fleet/fleet_dispatcher.hpp
+++ b/include/rattandock/fleet/fleet_dispatcher.hpp
@@ -106,6 +106,8 @@
     /// Returns true once a planned stop was requested and no job, kept upstream or pending write of
     /// keeper rows is left.
     bool isStopped() const;
+    /// Returns true if a caller of this VM waits for the job.
+    bool hasJob(const JobId &id) const { return m_jobsById.contains(id); }
     /// Returns the entry of a kept upstream, or null if this VM does not keep it. The pointer is
     /// valid until the next call of handle().
     const UpstreamEntry *findKeptUpstream(const UpstreamId &id) const;
@@ -239,6 +241,7 @@
 
     void handleEvent(const JobSubmitted &event, TimePoint now, FleetActions &actions);
     void handleEvent(const CallerDisconnected &event, TimePoint now, FleetActions &actions);
+    void handleEvent(const JobCancelled &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamListRead &event, TimePoint now, FleetActions &actions);
     void handleEvent(const UpstreamListReadFailed &event, TimePoint now, FleetActions &actions);
     void handleEvent(const EvacuationsRead &event, TimePoint now, FleetActions &actions);
--- a/include/rattandock/fleet/fleet_event.hpp
+++ b/include/rattandock/fleet/fleet_event.hpp
@@ -27,6 +27,12 @@
     CallerRequestId request;
 };
 
+/// A caller cancels a job of this VM. The job ends as failed and its tasks are stopped.
+struct JobCancelled
+{
+    JobId job;
+};
+
 /// The platform's list of upstreams was read, by this VM or by the VM that reads it for the zone.
 struct UpstreamListRead
 {
@@ -247,9 +253,9 @@
 };
 
 using FleetEvent =
-        std::variant<JobSubmitted, CallerDisconnected, UpstreamListRead, UpstreamListReadFailed,
-                     EvacuationsRead, EvacuationsReadFailed, MembersRead, KeepersRead,
-                     KeeperWriteCompleted, StartOrderCompleted, StopOrderCompleted,
+        std::variant<JobSubmitted, CallerDisconnected, JobCancelled, UpstreamListRead,
+                     UpstreamListReadFailed, EvacuationsRead, EvacuationsReadFailed, MembersRead,
+                     KeepersRead, KeeperWriteCompleted, StartOrderCompleted, StopOrderCompleted,
                      RunReportReceived, RunReportFailed, PeerLinkChanged, PeerInputClosed,
                      PeerCapacityReported, SuspicionReceived, ColdUpstreamsReceived, OfferReceived,
                      OfferEnded, OfferWithdrawn, EvacuationStateReceived, OfferedTasksReturned,
--- a/src/rattandock/adapters/detail/metric_tables.cpp
+++ b/src/rattandock/adapters/detail/metric_tables.cpp
@@ -87,7 +87,7 @@
              namesOf<fleet::TurnAwayReason>(fleet::turnAwayReasonCount)},
             {"job_broken_off", "Jobs without a result whose tasks may have started.",
              namesOf<fleet::BreakOffReason>(fleet::breakOffReasonCount)},
-            {"job_failed", "Jobs with a task that is not tried again.",
+            {"job_failed", "Jobs with a task that is not tried again, or that were cancelled.",
              namesOf<fleet::FailureReason>(fleet::failureReasonCount)},
             {"job_completed", "Jobs whose tasks are all done.", {"done"}},
             {"tasks_offered",
--- a/src/rattandock/app/fleet_api.cpp
+++ b/src/rattandock/app/fleet_api.cpp
@@ -92,6 +92,9 @@
     if (request.method == "GET" && id.empty()) {
         return m_format.encodeWaiting(m_loop.dispatcher().status().jobs);
     }
+    if (request.method == "DELETE" && m_loop.cancel(JobId{id})) {
+        return m_format.encodeCancelled();
+    }
     if (request.method == "GET" || request.method == "DELETE") {
         // Jobs are answered when they end and are not kept after it.
         return m_format.encodeUnknownJob();
--- a/src/rattandock/app/fleet_fakes_test.hpp
+++ b/src/rattandock/app/fleet_fakes_test.hpp
@@ -46,7 +46,7 @@
         return fleet::OrderResult{};
     }
     bool isReachable(const boost::asio::ip::tcp::endpoint &) override { return false; }
-    void release(const boost::asio::ip::tcp::endpoint &) override {}
+    void release(const boost::asio::ip::tcp::endpoint &) override { }
 };
 
 } // namespace rattandock::app::test
--- a/src/rattandock/app/fleet_loop.cpp
+++ b/src/rattandock/app/fleet_loop.cpp
@@ -251,6 +251,15 @@
     return end.get();
 }
 
+bool FleetLoop::cancel(const JobId &job)
+{
+    if (!m_dispatcher.hasJob(job)) {
+        return false;
+    }
+    post(fleet::JobCancelled{job});
+    return true;
+}
+
 void FleetLoop::finish(CallerRequestId request, std::optional<fleet::JobEnd> end)
 {
     const auto it = m_waiters.find(request);
--- a/src/rattandock/app/fleet_loop_test.cpp
+++ b/src/rattandock/app/fleet_loop_test.cpp
@@ -140,7 +140,11 @@
         job.estimate = job.objective = std::chrono::seconds{8};
         job.deadline = std::chrono::seconds{20};
         adapters::spawnFiber([this, job] {
-            loop.submit(job, [this](auto disconnect) { callers.push_back(disconnect); });
+            const auto end =
+                    loop.submit(job, [this](auto disconnect) { callers.push_back(disconnect); });
+            if (end) {
+                ends.push_back(*end);
+            }
         });
     }
 
@@ -153,6 +157,8 @@
     FleetLoop loop{threads, clock, options(), orders, history};
     /// Each ends the connection of the caller of a job.
     std::vector<std::function<void()>> callers;
+    /// Answers to the callers.
+    std::vector<fleet::JobEnd> ends;
 };
 
 } // namespace
@@ -230,4 +236,29 @@
     BOOST_TEST(holdsWithin(fleet::callerResubmitDelay, [&] { return orders.releases > 0; }));
 }
 
+// Guards against tasks that run on after the cancelling of their job was acknowledged, and against
+// an acknowledgement for a job that this VM does not have.
+BOOST_AUTO_TEST_CASE(stopsTheRunsOfACancelledJob)
+{
+    constexpr std::uint32_t tasks = 100;
+    keepOneUpstream(tasks);
+    onThread([&] { submit("job", tasks); });
+    BOOST_REQUIRE(
+            holdsWithin(std::chrono::seconds{10}, [&] { return orders.active.size() == tasks; }));
+    onThread([&] {
+        BOOST_TEST(!loop.cancel(JobId{"other"}));
+        BOOST_TEST(loop.cancel(JobId{"job"}));
+        BOOST_TEST(!loop.cancel(JobId{"job"}));
+    });
+    BOOST_TEST(holdsWithin(fleet::callerResubmitDelay, [&] {
+        return orders.active.empty() && loop.dispatcher().status().runs == 0;
+    }));
+    onThread([&] {
+        BOOST_REQUIRE(ends.size() == 1);
+        const auto *const failed = std::get_if<fleet::JobFailed>(&ends[0]);
+        BOOST_REQUIRE(failed != nullptr);
+        BOOST_TEST((failed->reason == fleet::FailureReason::Cancelled));
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/rattandock/fleet/fleet_action.cpp
+++ b/src/rattandock/fleet/fleet_action.cpp
@@ -21,8 +21,8 @@
 
 std::string_view name(FailureReason reason)
 {
-    static constexpr std::array<std::string_view, failureReasonCount> names{"attempts",
-                                                                            "upstream-crashes"};
+    static constexpr std::array<std::string_view, failureReasonCount> names{
+            "attempts", "upstream-crashes", "cancelled"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -149,6 +149,13 @@
     m_isDispatchDue = true;
 }
 
+void FleetDispatcher::handleEvent(const JobCancelled &event, TimePoint now, FleetActions &actions)
+{
+    if (const auto it = m_jobsById.find(event.job); it != m_jobsById.end()) {
+        endJob(it->second, JobFailed{FailureReason::Cancelled}, now, actions);
+    }
+}
+
 void FleetDispatcher::stopTasks(JobNumber number, Job &job, TimePoint now, FleetActions &actions)
 {
     // The caller submits the job again some time after this VM has answered or lost it. The end of
