Test stops of runs on upstreams whose clocks are slow

The simulated upstreams get clocks of their own rate. Guards against a lease that outlives the return of its job. The other schedules are unchanged.

--- a/src/rattandock/fleet/fleet_stops_test.cpp
+++ b/src/rattandock/fleet/fleet_stops_test.cpp
@@ -86,6 +86,31 @@
     }
 }
 
+// Guards against the same where the clocks of the upstreams are 2% slow, so that leases last
+// longer.
+BOOST_AUTO_TEST_CASE(endsRunsBeforeTheirJobsComeBackWhileClocksAreSlow)
+{
+    std::size_t lapsed = 0;
+    for (std::uint64_t seed = 24'000; seed < 24'030; ++seed) {
+        FleetWorld world{seed,
+                         {.callerReset = 0.3,
+                          .stopRefused = 1,
+                          .clockRate = 0.98,
+                          .arrivalInterval = std::chrono::milliseconds{80},
+                          .longestEstimate = std::chrono::milliseconds{2500},
+                          .leastCpu = 1000,
+                          .mostCpu = 8000,
+                          .callerDeadline = std::chrono::milliseconds{6000}}};
+        world.run(14s);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(world.violations().empty());
+        }
+        lapsed += world.lapsedRuns();
+    }
+    BOOST_TEST(lapsed > 1000);
+}
+
 // Guards against the same where all kinds of orders fail: they are lost, executed without an
 // answer, or executed 2 to 12 s later.
 BOOST_AUTO_TEST_CASE(endsRunsBeforeTheirJobsComeBackWhileAllOrdersFail)
--- a/src/rattandock/fleet/fleet_world_test.cpp
+++ b/src/rattandock/fleet/fleet_world_test.cpp
@@ -682,7 +682,8 @@
              orderTimeout);
     }
     ++upstream.process;
-    upstream.clockOffset = -m_now.time_since_epoch();
+    upstream.clockOffset = Duration{};
+    upstream.clockOffset = -upstreamClock(upstream).value();
     upstream.unreachableUntil = m_now + downtime;
 }
 
--- a/src/rattandock/fleet/fleet_world_test.hpp
+++ b/src/rattandock/fleet/fleet_world_test.hpp
@@ -70,6 +70,8 @@
     double callerReset = 0;
     /// Share of stop orders that the upstream answers as unhealthy, without an effect.
     double stopRefused = 0;
+    /// Rate of the upstreams' clocks. The platform allows 2% below 1.
+    double clockRate = 1;
     /// Longest time that an upstream takes to answer a stop order.
     Duration stopAnswerTime{};
     /// Mean time between jobs. Below 100 ms the jobs exceed the capacity of the upstreams.
@@ -320,6 +322,13 @@
     bool canReach(std::size_t vm, const Upstream &upstream) const;
     Upstream &findUpstream(const UpstreamId &id);
     UpstreamTime upstreamClock(const Upstream &upstream) const;
+    /// Extends the lease of the upstream's runs to a time on its clock.
+    void extendLease(Upstream &upstream, UpstreamTime until) const;
+    /// Returns this span of an upstream's time in simulated time.
+    Duration fromUpstreamTime(Duration span) const
+    {
+        return std::chrono::duration_cast<Duration>(span / m_faults.clockRate);
+    }
     /// Executes an order on the upstream after the network's delay, subject to faults, and calls
     /// `answerOrder` with its result or with OrderResult::NoAnswer. The upstream takes `answerTime`
     /// to answer.
--- a/src/rattandock/fleet/fleet_world_upstreams_test.cpp
+++ b/src/rattandock/fleet/fleet_world_upstreams_test.cpp
@@ -49,7 +49,15 @@
 
 UpstreamTime FleetWorld::upstreamClock(const Upstream &upstream) const
 {
-    return UpstreamTime{m_now.time_since_epoch() + upstream.clockOffset};
+    const auto steady =
+            std::chrono::duration_cast<Duration>(m_now.time_since_epoch() * m_faults.clockRate);
+    return UpstreamTime{steady + upstream.clockOffset};
+}
+
+void FleetWorld::extendLease(Upstream &upstream, UpstreamTime until) const
+{
+    const Duration lease = std::min(until.value() - upstreamClock(upstream).value(), maxLease);
+    upstream.leaseUntil = std::max(upstream.leaseUntil, m_now + fromUpstreamTime(lease));
 }
 
 void FleetWorld::sendOrder(
@@ -111,11 +119,10 @@
         return OrderResult::Fenced;
     }
     upstream.highestToken = order.token;
-    const Duration lease = order.leaseUntil.value() - upstreamClock(upstream).value();
-    if (lease <= Duration{}) {
+    if (order.leaseUntil <= upstreamClock(upstream)) {
         return OrderResult::Late;
     }
-    upstream.leaseUntil = std::max(upstream.leaseUntil, m_now + std::min(lease, maxLease));
+    extendLease(upstream, order.leaseUntil);
     const RunKey key{order.name, order.number.value()};
     trace(upstream.entry.id, " starts ", order.name.job, " task ", order.name.task, " run ",
           order.number, " token ", order.token.value() >> 20U, '.', order.token.value() & 0xfffffU);
@@ -225,8 +232,7 @@
         std::erase_if(upstream.endedRuns,
                       [&](const EndedRun &it) { return it.position <= request.acknowledged; });
         if (request.leaseUntil) {
-            const Duration lease = request.leaseUntil->value() - upstreamClock(upstream).value();
-            upstream.leaseUntil = std::max(upstream.leaseUntil, m_now + std::min(lease, maxLease));
+            extendLease(upstream, *request.leaseUntil);
         }
         if (outcome == OrderOutcome::ReplyLost) {
             return failed(OrderResult::NoAnswer, request.wait + orderTimeout);
