Rename the time after which the runs of a job are over

LeaseTimes::stopLimit() becomes runsEndAfterJob(), as the options have a stopLimit for the planned stop of a VM. No change in behaviour.

--- a/include/rattandock/fleet/lease_times.hpp
+++ b/include/rattandock/fleet/lease_times.hpp
@@ -55,9 +55,9 @@
                                                    * maxClockDrift)}
                + expiryMargin;
     }
-    /// Returns the time from the end of a job until none of its runs on upstreams of the VM that
-    /// answered its caller may execute.
-    constexpr Duration stopLimit() const { return callerResubmitDelay - callerNoticeReserve; }
+    /// Returns the time from the end of a job of this VM's callers until none of its runs on this
+    /// VM's upstreams can execute.
+    constexpr Duration runsEndAfterJob() const { return callerResubmitDelay - callerNoticeReserve; }
     /// Returns the time from the failure of a VM, or of the link to it, until no run that depends
     /// on it can execute: its silence is detected after `peerSilence`, and leases that were renewed
     /// until then expire.
--- a/include/rattandock/fleet/stop_queue.hpp
+++ b/include/rattandock/fleet/stop_queue.hpp
@@ -36,7 +36,8 @@
     /// Each of them needs a call of answered().
     std::vector<ActiveRun> takeDue(TimePoint now, std::size_t maxOpen);
     /// Records the result of an order. `isAccepted`: the upstream has accepted it. No effect if
-    /// takeDue() has not returned the run: a former keeper of this VM has sent the order.
+    /// takeDue() has not returned the run: this VM has sent the order when it kept the upstream
+    /// before.
     void answered(const ActiveRun &run, bool isAccepted, TimePoint now);
     /// Returns when the next order is due; `std::nullopt` if none is.
     std::optional<TimePoint> nextDue() const;
@@ -65,7 +66,7 @@
     /// The same runs by the time at which they are due, in the order of their addition. Entries of
     /// runs that have ended or are due at another time are skipped.
     std::multimap<TimePoint, ActiveRun> m_due;
-    /// Runs of which the upstream has not accepted the latest order.
+    /// Runs with failures.
     std::size_t m_failing = 0;
     /// Runs with an order under way, once for each order.
     std::unordered_multiset<ActiveRun, ActiveRunHash> m_open;
--- a/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
+++ b/src/rattandock/fleet/fleet_dispatcher_jobs.cpp
@@ -162,7 +162,7 @@
     // another VM's offer may reach this VM as late as the silence limit of their link allows.
     const LeaseTimes &times = m_options.lease;
     const bool isOffered = std::holds_alternative<OfferOrigin>(job.origin);
-    const TimePoint limit = now + (isOffered ? times.runsEndAfter({}) : times.stopLimit());
+    const TimePoint limit = now + (isOffered ? times.runsEndAfter({}) : times.runsEndAfterJob());
     std::size_t running = 0;
     LedgerOutputs outputs;
     for (std::uint32_t n = 0; n < job.tasks.size(); ++n) {
