--- a/src/rattandock/app/fleet_loop_test.cpp
+++ b/src/rattandock/app/fleet_loop_test.cpp
@@ -197,14 +197,15 @@
 {
     constexpr std::uint32_t jobs = 5;
     constexpr std::uint32_t tasks = 100;
-    keepOneUpstream(jobs * tasks);
+    constexpr std::uint32_t allTasks = jobs * tasks;
+    keepOneUpstream(allTasks);
     onThread([&] {
         for (std::uint32_t n = 0; n < jobs; ++n) {
             submit("job-" + std::to_string(n), tasks);
         }
     });
     BOOST_REQUIRE(holdsWithin(std::chrono::seconds{10},
-                              [&] { return orders.active.size() == jobs * tasks; }));
+                              [&] { return orders.active.size() == allTasks; }));
     onThread([&] {
         // The caller of the last job stays, so the lease is renewed.
         for (std::uint32_t n = 0; n + 1 < jobs; ++n) {
